--- /dev/null
+++ b/src/include/citronlug/accountant.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <citronlug/types.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace citronlug {
+
+/// Rate and burst of one client account, counted over all instances.
+struct rate_limit {
+    double rate = 0;  ///< requests per second
+    double burst = 0; ///< requests at once
+
+    auto operator==(const rate_limit&) const -> bool = default;
+};
+
+/// Life of a grant, counted at the entry from before it asked.
+inline constexpr duration grant_life = 1s;
+
+/// Token bucket of one client account at its accountant. A new accountant starts with an empty bucket,
+/// since tokens of its predecessor may have been spent a moment ago. Not thread-safe.
+class accountant {
+public:
+    accountant(rate_limit limit, time_point now);
+
+    auto set_limit(time_point now, rate_limit limit) -> void;
+    /// Takes up to `wanted` whole tokens; the entry may spend them for `grant_life`.
+    [[nodiscard]] auto take(time_point now, std::uint32_t wanted) -> std::uint32_t;
+    /// Unspent tokens that an entry returns. They count only while their grant is alive, and never above the
+    /// burst.
+    auto give_back(time_point now, time_point granted_at, std::uint32_t unspent) -> void;
+    /// Time until one token is there.
+    [[nodiscard]] auto wait_for_token(time_point now) const -> duration;
+    [[nodiscard]] auto level(time_point now) const -> double;
+
+private:
+    rate_limit limit_;
+    double level_ = 0;
+    time_point updated_;
+};
+
+/// What the entry does with a request that needs a token.
+enum class admission { admitted, ask, wait, refused };
+
+template <>
+struct name_table<admission> {
+    static constexpr std::array<std::string_view, 4> names{"admitted", "ask", "wait", "refused"};
+};
+
+/// How an entry obtains tokens for the requests of one client account. Plug-ins: `granted`, `static_share`.
+class limit_policy {
+public:
+    limit_policy() = default;
+    limit_policy(const limit_policy&) = delete;
+    auto operator=(const limit_policy&) -> limit_policy& = delete;
+    virtual ~limit_policy() = default;
+
+    virtual auto set_limit(time_point now, rate_limit limit, std::uint32_t live_instances) -> void = 0;
+    /// Spends one token if there is one. `ask`: send `ask_size` to the accountant, queue the request;
+    /// `wait`: a question is under way; `refused`: the account is over its rate.
+    [[nodiscard]] virtual auto admit(time_point now, time_point deadline) -> admission = 0;
+    /// Tokens to ask for now; the owner asks the accountant and reports with `on_grant`.
+    [[nodiscard]] virtual auto ask_size(time_point now) -> std::uint32_t = 0;
+    /// Answer of the accountant. `asked_at` is the time before the question was sent. `wait`: time until the
+    /// accountant has a token; it is a rejection of requests whose deadline is nearer.
+    virtual auto on_grant(time_point now, time_point asked_at, std::uint32_t tokens, duration wait)
+        -> void = 0;
+    /// The accountant did not answer or has changed.
+    virtual auto on_grant_failed(time_point now) -> void = 0;
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/include/citronlug/rules.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <citronlug/accountant.h>
+#include <citronlug/outcome.h>
+#include <citronlug/request.h>
+#include <citronlug/types.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citronlug {
+
+/// Who asked for a rule and why, from its comment.
+struct rule_origin {
+    std::string requester;
+    std::string reason;
+    int line = 0;
+
+    /// The line number is no part of the rule.
+    auto operator==(const rule_origin& other) const -> bool {
+        return requester == other.requester && reason == other.reason;
+    }
+};
+
+struct database_rule {
+    database_id database;
+    cell_id cell;
+    std::vector<member_id> members;
+    std::vector<failure_domain> domains; ///< one per member, or empty
+    int slots = 5;
+    int connections = 35;
+    rule_origin origin;
+
+    auto operator==(const database_rule&) const -> bool = default;
+};
+
+struct route_rule {
+    route_id route;
+    database_id database;
+    access_mode mode = access_mode::read;
+    bool idempotent = true; ///< reads always are
+    ack_mode ack = ack_mode::primary;
+    std::optional<duration> max_age; ///< oldest data that the route accepts
+    bool open = false;               ///< open to all, without a key
+    rule_origin origin;
+
+    auto operator==(const route_rule&) const -> bool = default;
+};
+
+struct limit_rule {
+    account_id account;
+    rate_limit limit;
+    rule_origin origin;
+
+    auto operator==(const limit_rule&) const -> bool = default;
+};
+
+struct leave_rule {
+    member_id server;
+    rule_origin origin;
+
+    auto operator==(const leave_rule&) const -> bool = default;
+};
+
+/// All rules of a file, by name.
+struct rule_set {
+    std::map<database_id, database_rule> databases;
+    std::map<route_id, route_rule> routes;
+    std::map<account_id, limit_rule> limits;
+    std::map<member_id, leave_rule> leaves;
+
+    auto operator==(const rule_set&) const -> bool = default;
+};
+
+/// One fault in a rules file.
+struct rule_error {
+    int line = 0;   ///< from 1
+    int column = 0; ///< from 1
+    std::string message;
+    std::string accepted; ///< accepted forms at this place
+};
+
+/// Reads a rules file. Reports every faulty line; a file with any error gives no rules.
+[[nodiscard]] auto parse_rules(const std::string& text) -> std::variant<rule_set, std::vector<rule_error>>;
+
+/// One line per rule that was added, removed or changed, with "+", "-" or "~" before it.
+[[nodiscard]] auto difference(const rule_set& before, const rule_set& after) -> std::vector<std::string>;
+
+} // namespace citronlug
--- /dev/null
+++ b/src/include/citronlug/session_token.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <citronlug/outcome.h>
+#include <citronlug/request.h>
+#include <citronlug/types.h>
+
+#include <string>
+#include <string_view>
+
+namespace citronlug {
+
+/// What a session token states. Times are seconds since 1970, since tokens roam between instances.
+struct session_token {
+    account_id account;
+    database_id database;
+    position at;
+    std::int64_t expires_s = 0;
+
+    auto operator==(const session_token&) const -> bool = default;
+};
+
+/// Seals a token with an HMAC under the fleet's secret; URL-safe base64.
+[[nodiscard]] auto seal(const session_token& token, std::string_view secret) -> std::string;
+/// Opens a token. Fails with `invalid_token` if it is damaged, expired, or of another client account.
+[[nodiscard]] auto open_token(std::string_view text, std::string_view secret, const account_id& account,
+                              std::int64_t now_s) -> result<session_token>;
+
+} // namespace citronlug
