Add decision component of a held database

The holder owns queue, slots, connections, read routing, at-most-once writes, transactions and the change of primary of one database. It performs no I/O, so that tests and the daemon drive the same object.

--- /dev/null
+++ b/src/fair.plugin/fair.cpp
@@ -0,0 +1,183 @@
+#include <citronlug/queue_policy.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace citronlug {
+
+namespace {
+
+/// Deficit round robin over client accounts. Each account has one bounded queue per lane; the cost of an
+/// entry is its expected service time, so an account with slow statements starts fewer of them.
+class fair_queue : public queue_policy {
+public:
+    [[nodiscard]] auto push(queued_work work) -> bool override {
+        auto& owner = accounts_[work.account];
+        if (owner.size >= bound) {
+            return false;
+        }
+        if (owner.size == 0) {
+            owner.deficit = duration{};
+            ring_.push_back(work.account);
+        }
+        ++owner.size;
+        ++size_;
+        owner.lanes.at(static_cast<std::size_t>(work.lane)).push_back(std::move(work));
+        return true;
+    }
+
+    auto remove(std::uint64_t number) -> void override {
+        for (auto& [id, owner] : accounts_) {
+            for (auto& lane : owner.lanes) {
+                const auto it = std::find_if(lane.begin(), lane.end(),
+                                             [&](const auto& entry) { return entry.number == number; });
+                if (it != lane.end()) {
+                    lane.erase(it);
+                    drop_one(id);
+                    return;
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] auto take(const checker& check) -> std::optional<std::uint64_t> override {
+        auto blocked = std::array<bool, queue_lanes>{};
+        auto found = std::vector<choice>{};
+        for (std::size_t n = 0; n < ring_.size(); ++n) {
+            const auto at = (cursor_ + n) % ring_.size();
+            auto picked = first_startable(accounts_[ring_[at]], check, blocked);
+            if (!picked) {
+                continue;
+            }
+            picked->ring = at;
+            if (accounts_[ring_[at]].deficit >= picked->cost) {
+                return start(*picked);
+            }
+            found.push_back(*picked);
+        }
+        if (found.empty()) {
+            return std::nullopt;
+        }
+        // Nobody has enough credit: run as many rounds at once as the first account needs.
+        auto rounds = std::int64_t{0};
+        for (const auto& it : found) {
+            const auto missing = it.cost - accounts_[ring_[it.ring]].deficit;
+            const auto needed = (missing.count() + quantum.count() - 1) / quantum.count();
+            rounds = rounds == 0 ? needed : std::min(rounds, needed);
+        }
+        auto best = std::optional<choice>{};
+        for (const auto& it : found) {
+            auto& owner = accounts_[ring_[it.ring]];
+            owner.deficit += quantum * rounds;
+            if (!best && owner.deficit >= it.cost) {
+                best = it;
+            }
+        }
+        return start(*best);
+    }
+
+    [[nodiscard]] auto ahead(const account_id& account, queue_lane lane) const -> duration override {
+        const auto own = work_of(account, lane);
+        auto sum = own;
+        for (const auto& it : ring_) {
+            if (it != account) {
+                // Another account gets at most as much service as this one, plus one entry of the present
+                // round.
+                sum += std::min(work_of(it, lane), own + quantum);
+            }
+        }
+        return sum;
+    }
+
+    [[nodiscard]] auto size() const -> std::size_t override { return size_; }
+
+private:
+    static constexpr std::size_t bound = 256;     ///< entries per account
+    static constexpr std::size_t scan_limit = 64; ///< entries looked at per lane behind one that has to wait
+    static constexpr duration quantum = 1ms;
+
+    struct account_queue {
+        std::array<std::deque<queued_work>, queue_lanes> lanes;
+        std::size_t size = 0;
+        std::size_t next_lane = 0;
+        duration deficit{};
+    };
+    struct choice {
+        std::size_t ring = 0;
+        std::size_t lane = 0;
+        std::size_t index = 0;
+        duration cost{};
+    };
+
+    static auto first_startable(account_queue& owner, const checker& check,
+                                std::array<bool, queue_lanes>& blocked) -> std::optional<choice> {
+        // Steps of open transactions go first, because they hold locks. The other lanes take turns.
+        constexpr auto transaction_lane = static_cast<std::size_t>(queue_lane::transaction);
+        for (std::size_t n = 0; n <= queue_lanes; ++n) {
+            const auto lane = n == 0 ? transaction_lane : (owner.next_lane + n) % queue_lanes;
+            auto& entries = owner.lanes.at(lane);
+            for (std::size_t i = 0; i < std::min(entries.size(), scan_limit) && !blocked.at(lane); ++i) {
+                const auto outcome = check(entries[i].number);
+                if (outcome == start_check::start) {
+                    return choice{0, lane, i, entries[i].cost};
+                }
+                blocked.at(lane) = outcome == start_check::blocked;
+            }
+        }
+        return std::nullopt;
+    }
+
+    auto start(const choice& picked) -> std::uint64_t {
+        const auto id = ring_[picked.ring];
+        auto& owner = accounts_[id];
+        auto& lane = owner.lanes.at(picked.lane);
+        const auto it = lane.begin() + static_cast<std::ptrdiff_t>(picked.index);
+        const auto number = it->number;
+        lane.erase(it);
+        owner.deficit -= picked.cost;
+        owner.next_lane = picked.lane;
+        // The next account comes first in the next round, so that a free slot does not always go to the same.
+        cursor_ = picked.ring + (owner.deficit >= picked.cost ? 0 : 1);
+        drop_one(id);
+        return number;
+    }
+
+    auto drop_one(const account_id& id) -> void {
+        --size_;
+        if (--accounts_[id].size > 0) {
+            return;
+        }
+        const auto it = std::find(ring_.begin(), ring_.end(), id);
+        if (static_cast<std::size_t>(it - ring_.begin()) < cursor_) {
+            --cursor_;
+        }
+        ring_.erase(it);
+        accounts_.erase(id);
+    }
+
+    [[nodiscard]] auto work_of(const account_id& account, queue_lane lane) const -> duration {
+        auto sum = duration{};
+        const auto it = accounts_.find(account);
+        for (std::size_t n = 0; it != accounts_.end() && n < queue_lanes; ++n) {
+            const auto& entries = it->second.lanes.at(n);
+            if (competes(static_cast<queue_lane>(n), lane) && !entries.empty()) {
+                sum += entries.front().cost * static_cast<std::int64_t>(entries.size());
+            }
+        }
+        return sum;
+    }
+
+    std::map<account_id, account_queue> accounts_;
+    std::vector<account_id> ring_; ///< accounts with queued work
+    std::size_t cursor_ = 0;
+    std::size_t size_ = 0;
+};
+
+const plugin_registration<queue_policy, fair_queue> registration{"fair"};
+
+} // namespace
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/connection_table.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <citronlug/database_holder.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace citronlug {
+
+enum class connection_state { opening, idle, busy, pinned };
+
+template <>
+struct name_table<connection_state> {
+    static constexpr std::array<std::string_view, 4> names{"opening", "idle", "busy", "pinned"};
+};
+
+/// One connection to a member. `work` is the request whose pipeline runs on it; 0 for a keep-alive statement.
+struct pooled_connection {
+    connection_number number = 0;
+    member_id member;
+    connection_state state = connection_state::opening;
+    time_point since;  ///< start of the present state
+    time_point proved; ///< last sign of life
+    std::uint64_t sequence = 0;
+    std::uint64_t work = 0;
+    bool pinned = false; ///< belongs to an open transaction
+};
+
+/// Connections and slots of all members. A connection serves one pipeline at a time; a pipeline occupies one
+/// slot of its member. Not thread-safe.
+class connection_table {
+public:
+    explicit connection_table(std::vector<holder_action>& actions);
+
+    auto set_limits(int slots, int connections) -> void;
+    /// Members that connections are kept to; connections to others are closed when they are idle.
+    auto set_wanted(std::vector<member_id> members) -> void;
+
+    /// Opens connections up to the minimum, sends keep-alive statements, closes what is silent or
+    /// superfluous.
+    auto on_timer(time_point now) -> void;
+    /// A request found a free slot but no idle connection.
+    auto want_connection(time_point now, const member_id& member) -> void;
+    auto on_connected(time_point now, connection_number number, bool success) -> void;
+
+    [[nodiscard]] auto has_slot(time_point now, const member_id& member) const -> bool;
+    [[nodiscard]] auto has_idle(const member_id& member) const -> bool;
+    [[nodiscard]] auto is_connected(const member_id& member) const -> bool;
+    [[nodiscard]] auto in_flight(time_point now, const member_id& member) const -> int;
+    [[nodiscard]] auto find(connection_number number) -> pooled_connection*;
+    /// Sends a pipeline on the idle connection that was used last, and returns it.
+    auto start(time_point now, const member_id& member, std::uint64_t work, std::vector<statement> statements)
+        -> const pooled_connection&;
+    /// Sends a pipeline on the connection of a transaction.
+    auto continue_pinned(time_point now, connection_number number, std::uint64_t work,
+                         std::vector<statement> statements) -> const pooled_connection&;
+    /// The pipeline has its result.
+    auto finish(time_point now, connection_number number) -> void;
+    /// Gives an idle connection to a transaction, or takes it back.
+    auto pin(time_point now, connection_number number, bool pin) -> void;
+    /// Closes a connection. A slot whose statement may still run is kept for a while.
+    auto close(time_point now, connection_number number) -> void;
+    /// The connection has failed by itself.
+    auto forget(time_point now, connection_number number) -> void;
+
+    [[nodiscard]] auto connections_to(const member_id& member) const -> std::vector<connection_number>;
+    [[nodiscard]] auto size() const -> std::size_t { return connections_.size(); }
+    [[nodiscard]] auto pinned_limit() const -> int;
+    [[nodiscard]] auto pinned() const -> int;
+
+private:
+    struct member_pool {
+        std::vector<connection_number> idle; ///< the one used last is at the end
+        int opening = 0;
+        int busy = 0;
+        int pinned = 0;
+        int total = 0;
+        time_point open_after; ///< pause after a failed attempt
+        duration pause{};
+        std::vector<time_point> ghosts; ///< closed in mid-statement; the slot counts until then
+    };
+
+    auto open(time_point now, const member_id& member) -> void;
+    auto send(time_point now, pooled_connection& it, std::uint64_t work, std::vector<statement> statements)
+        -> void;
+    auto remove(time_point now, connection_number number) -> void;
+    [[nodiscard]] auto is_wanted(const member_id& member) const -> bool;
+    auto check_idle(time_point now, std::vector<connection_number>& closing) -> void;
+
+    std::vector<holder_action>& actions_;
+    std::unordered_map<connection_number, pooled_connection> connections_;
+    std::map<member_id, member_pool> pools_;
+    std::vector<member_id> wanted_;
+    int slots_ = 1;
+    int limit_ = 1;
+    std::uint64_t next_sequence_ = 1;
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/database_holder.cpp
@@ -0,0 +1,368 @@
+#include "holder_impl.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace citronlug {
+
+namespace {
+
+constexpr auto answer_grace = 100ms; // a result that is on its way at the deadline still counts
+constexpr auto silence_limit = 2s;   // a statement without an answer for this long is given up
+
+} // namespace
+
+database_holder::implementation::implementation(database_settings settings, epoch_number epoch,
+                                                time_point now)
+    : settings_(std::move(settings))
+    , epoch_(epoch)
+    , view_(now)
+    , budget_(now)
+    , last_timer_(now)
+    , observing_since_(now)
+    , primary_missing_since_(now)
+    , changed_(now - 1h)
+    , change_attempted_(now - 1h)
+    , hand_over_after_(now) {
+    queue_ = plugin_registry<queue_policy>::make(settings_.queue_policy);
+    apply_settings(now);
+    event("holder-started", fmt::format("epoch {}", epoch_));
+}
+
+auto database_holder::implementation::apply_settings(time_point now) -> void {
+    reads_ = plugin_registry<read_policy>::make(settings_.read_policy);
+    promotions_ = plugin_registry<promotion_policy>::make(settings_.promotion_policy);
+    if (!queue_ || !reads_ || !promotions_) {
+        std::abort(); // a program without its plug-ins is a broken build
+    }
+    view_.set_members(settings_, now);
+    pool_.set_limits(settings_.slots, settings_.connections);
+    pool_.set_wanted(settings_.members);
+    std::erase_if(probes_, [&](const auto& it) { return view_.find(it.first) == nullptr; });
+}
+
+auto database_holder::implementation::update_settings(time_point now, database_settings settings) -> void {
+    const auto before = settings_.members;
+    settings_ = std::move(settings);
+    apply_settings(now);
+    for (const auto& member : before) {
+        if (view_.find(member) == nullptr) {
+            abandon_member(now, member);
+        }
+    }
+    sync_primary(now);
+    pump(now);
+}
+
+auto database_holder::implementation::on_cancel(time_point now, request_handle handle) -> void {
+    const auto it = by_handle_.find(handle);
+    if (it == by_handle_.end()) {
+        return;
+    }
+    auto& work = works_.at(it->second);
+    work.cancelled = true;
+    if (work.body.transaction.epoch == epoch_ && transactions_.contains(work.body.transaction.number) &&
+        work.kind != work_kind::commit) {
+        end_transaction(now, work.body.transaction.number, failure_code::transaction_ended,
+                        "the caller has gone");
+    } else if (work.stage == work_stage::queued) {
+        refuse(now, work, failure_code::deadline_exceeded, "the caller has gone");
+    }
+    pump(now);
+}
+
+auto database_holder::implementation::on_key_revoked(time_point now, const key_id& key) -> void {
+    auto transactions = std::vector<std::uint64_t>{};
+    for (const auto& [number, it] : transactions_) {
+        if (it.key == key) {
+            transactions.push_back(number);
+        }
+    }
+    for (const auto number : transactions) {
+        end_transaction(now, number, failure_code::unauthorised, "the key was revoked");
+    }
+    auto queued = std::vector<std::uint64_t>{};
+    for (const auto& [number, it] : works_) {
+        if (it.body.key == key && it.stage == work_stage::queued) {
+            queued.push_back(number);
+        }
+    }
+    for (const auto number : queued) {
+        if (auto* const work = find(number)) {
+            refuse(now, *work, failure_code::unauthorised, "the key was revoked");
+        }
+    }
+    // A transaction whose BEGIN is still running must not open after the revocation.
+    for (auto& [number, it] : works_) {
+        it.revoked = it.revoked || it.body.key == key;
+    }
+    pump(now);
+}
+
+auto database_holder::implementation::on_connected(time_point now, connection_number connection, bool success)
+    -> void {
+    if (const auto* const it = pool_.find(connection); it != nullptr && success) {
+        view_.heard(now, it->member);
+    }
+    pool_.on_connected(now, connection, success);
+    pump(now);
+}
+
+auto database_holder::implementation::on_connection_lost(time_point now, connection_number connection)
+    -> void {
+    const auto* const it = pool_.find(connection);
+    if (it == nullptr) {
+        return;
+    }
+    probe_soon(now, it->member, 20ms);
+    const auto number = it->work;
+    auto transaction = std::optional<std::uint64_t>{};
+    for (const auto& [id, open] : transactions_) {
+        if (open.connection == connection) {
+            transaction = id;
+        }
+    }
+    pool_.forget(now, connection);
+    if (transaction) {
+        end_transaction(now, *transaction, failure_code::transaction_ended, "the connection failed");
+    } else if (auto* const work = find(number)) {
+        work->kind == work_kind::read ? read_lost(now, *work) : resolve_doubt(now, *work);
+    }
+    pump(now);
+}
+
+auto database_holder::implementation::on_pipeline(time_point now, connection_number connection,
+                                                  std::uint64_t sequence, pipeline_result outcome) -> void {
+    const auto* const it = pool_.find(connection);
+    // A result counts only for the statement that runs on its connection now.
+    if (it == nullptr || it->state != connection_state::busy || it->sequence != sequence) {
+        return;
+    }
+    if (outcome.status == pipeline_status::lost) {
+        drop_connection(now, connection);
+        return;
+    }
+    if (outcome.status != pipeline_status::not_sent) {
+        view_.heard(now, it->member);
+    }
+    auto* const work = find(it->work);
+    pool_.finish(now, connection);
+    if (outcome.status != pipeline_status::finished) {
+        pool_.close(now, connection); // its session state is not known to be clean
+    }
+    if (work != nullptr) {
+        note_service_time(*work, now - work->sent);
+        if (work->stage == work_stage::lookup_running) {
+            finish_lookup(now, *work, outcome);
+        } else if (work->kind == work_kind::read) {
+            finish_read(now, *work, std::move(outcome));
+        } else if (work->kind == work_kind::write) {
+            finish_write(now, *work, std::move(outcome));
+        } else {
+            finish_step(now, *work, std::move(outcome));
+        }
+    }
+    pump(now);
+}
+
+auto database_holder::implementation::on_timer(time_point now) -> void {
+    if (now - last_timer_ > 300ms) {
+        observing_since_ = now;
+    }
+    last_timer_ = now;
+    pool_.on_timer(now);
+    expire(now);
+    expire_transactions(now);
+    watch_group(now);
+    check_confirmations(now);
+    pump(now);
+}
+
+auto database_holder::implementation::expire(time_point now) -> void {
+    auto due = std::vector<std::uint64_t>{};
+    for (const auto& [number, it] : works_) {
+        const auto running = it.stage == work_stage::running || it.stage == work_stage::lookup_running;
+        const auto limit =
+            running ? std::min(it.body.deadline + answer_grace, it.sent + silence_limit) : it.body.deadline;
+        if (now >= limit || (it.stage == work_stage::queued && !has_authority(now))) {
+            due.push_back(number);
+        }
+    }
+    std::sort(due.begin(), due.end());
+    for (const auto number : due) {
+        if (auto* const work = find(number)) {
+            expire_one(now, *work);
+        }
+    }
+}
+
+auto database_holder::implementation::expire_one(time_point now, work_item& work) -> void {
+    switch (work.stage) {
+    case work_stage::running:
+    case work_stage::lookup_running:
+        // A connection that is silent or has a statement that nobody waits for is never reused.
+        drop_connection(now, work.connection);
+        return;
+    case work_stage::queued:
+        if (!has_authority(now)) {
+            refuse(now, work, failure_code::no_authority, "this instance may not act for the database now");
+        } else if (work.no_replica && work.kind == work_kind::read) {
+            refuse(now, work, failure_code::too_stale, "no member has data that is new enough");
+        } else if (view_.primary() == nullptr) {
+            refuse(now, work, failure_code::no_primary, "the database has no primary now");
+        } else {
+            refuse(now, work, failure_code::deadline_exceeded, "the deadline passed in the queue");
+        }
+        return;
+    case work_stage::lookup:
+        if (work.surely_ended) {
+            refuse(now, work, failure_code::transaction_ended, "the transaction was rolled back");
+            return;
+        }
+        give_unknown(now, work, failure_code::deadline_exceeded,
+                     "the deadline passed before the outcome was known");
+        return;
+    case work_stage::confirming:
+        give_unknown(now, work, failure_code::deadline_exceeded, "no replica confirmed the write in time");
+        return;
+    }
+}
+
+auto database_holder::implementation::drop_connection(time_point now, connection_number connection) -> void {
+    if (pool_.find(connection) != nullptr) {
+        actions_.emplace_back(close_connection{connection});
+        on_connection_lost(now, connection);
+    }
+}
+
+auto database_holder::implementation::find(std::uint64_t number) -> work_item* {
+    const auto it = works_.find(number);
+    return it == works_.end() ? nullptr : &it->second;
+}
+
+auto database_holder::implementation::deliver(time_point now, work_item& work, answer value) -> void {
+    counters_.not_run += value.outcome == verdict::not_run ? 1 : 0;
+    counters_.unknown += value.outcome == verdict::unknown ? 1 : 0;
+    if (!work.cancelled) {
+        actions_.emplace_back(deliver_answer{work.handle, std::move(value)});
+    }
+    if (work.stage == work_stage::queued) {
+        queue_->remove(work.number);
+    }
+    if (work.stage == work_stage::lookup) {
+        std::erase(lookups_, work.number);
+    }
+    confirming_.erase(work.number);
+    if (work.tracked) {
+        running_ids_.erase({work.body.account, work.body.id});
+    }
+    if (const auto it = transactions_.find(work.body.transaction.number);
+        it != transactions_.end() && it->second.step == work.number) {
+        it->second.step = 0;
+        it->second.last_used = now;
+    }
+    by_handle_.erase(work.handle);
+    works_.erase(work.number);
+}
+
+auto database_holder::implementation::refuse(time_point now, work_item& work, failure_code code,
+                                             std::string message, duration retry_after) -> void {
+    auto value = answer{};
+    value.outcome = work.maybe_ran ? verdict::unknown : verdict::not_run;
+    value.error = failure{code, std::move(message), retry_after};
+    deliver(now, work, std::move(value));
+}
+
+auto database_holder::implementation::give_unknown(time_point now, work_item& work, failure_code code,
+                                                   std::string message) -> void {
+    work.maybe_ran = true;
+    refuse(now, work, code, std::move(message));
+}
+
+auto database_holder::implementation::event(std::string kind, std::string detail) -> void {
+    actions_.emplace_back(
+        holder_event{std::move(kind), fmt::format("database={} {}", settings_.database.value, detail)});
+}
+
+auto database_holder::implementation::drained() const -> bool {
+    return draining_ && works_.empty() && transactions_.empty();
+}
+
+auto database_holder::implementation::take_actions() -> std::vector<holder_action> {
+    return std::exchange(actions_, {});
+}
+
+auto database_holder::implementation::status(time_point now) const -> holder_status {
+    auto state = counters_;
+    state.database = settings_.database;
+    state.primary = view_.primary() != nullptr ? view_.primary()->id : member_id{};
+    state.term = view_.term();
+    state.queued = queue_->size();
+    state.running = works_.size() - state.queued;
+    state.open_connections = pool_.size();
+    state.open_transactions = transactions_.size();
+    for (const auto& it : view_.members()) {
+        if (const auto complete = view_.complete_at(now, it); complete && &it != view_.primary()) {
+            state.lag.emplace_back(it.id, now - *complete);
+        }
+    }
+    return state;
+}
+
+database_holder::database_holder(database_settings settings, epoch_number epoch, time_point now)
+    : impl_(std::make_unique<implementation>(std::move(settings), epoch, now)) {}
+database_holder::~database_holder() = default;
+database_holder::database_holder(database_holder&&) noexcept = default;
+auto database_holder::operator=(database_holder&&) noexcept -> database_holder& = default;
+
+auto database_holder::set_authority(time_point valid_until) -> void {
+    impl_->set_authority(valid_until);
+}
+auto database_holder::update_settings(time_point now, database_settings settings) -> void {
+    impl_->update_settings(now, std::move(settings));
+}
+auto database_holder::on_request(time_point now, request_handle handle, request work) -> void {
+    impl_->on_request(now, handle, std::move(work));
+}
+auto database_holder::on_cancel(time_point now, request_handle handle) -> void {
+    impl_->on_cancel(now, handle);
+}
+auto database_holder::on_key_revoked(time_point now, const key_id& key) -> void {
+    impl_->on_key_revoked(now, key);
+}
+auto database_holder::on_connected(time_point now, connection_number connection, bool success) -> void {
+    impl_->on_connected(now, connection, success);
+}
+auto database_holder::on_connection_lost(time_point now, connection_number connection) -> void {
+    impl_->on_connection_lost(now, connection);
+}
+auto database_holder::on_pipeline(time_point now, connection_number connection, std::uint64_t sequence,
+                                  pipeline_result outcome) -> void {
+    impl_->on_pipeline(now, connection, sequence, std::move(outcome));
+}
+auto database_holder::on_member_status(time_point now, const member_id& member, std::uint64_t sequence,
+                                       std::optional<member_status> status) -> void {
+    impl_->on_member_status(now, member, sequence, std::move(status));
+}
+auto database_holder::on_promoted(time_point now, const member_id& member, bool success, term_number term)
+    -> void {
+    impl_->on_promoted(now, member, success, term);
+}
+auto database_holder::on_timer(time_point now) -> void {
+    impl_->on_timer(now);
+}
+auto database_holder::start_drain(time_point /*now*/) -> void {
+    impl_->start_drain();
+}
+auto database_holder::drained() const -> bool {
+    return impl_->drained();
+}
+auto database_holder::take_actions() -> std::vector<holder_action> {
+    return impl_->take_actions();
+}
+auto database_holder::status(time_point now) const -> holder_status {
+    return impl_->status(now);
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/holder_impl.h
@@ -0,0 +1,247 @@
+#pragma once
+
+#include "connection_table.h"
+#include "retry_budget.h"
+
+#include <citronlug/database_holder.h>
+#include <citronlug/member_view.h>
+#include <citronlug/promotion_policy.h>
+#include <citronlug/queue_policy.h>
+#include <citronlug/read_policy.h>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace citronlug {
+
+enum class work_kind { read, write, begin, run, commit, rollback };
+
+template <>
+struct name_table<work_kind> {
+    static constexpr std::array<std::string_view, 6> names{"read", "write",  "begin",
+                                                           "run",  "commit", "rollback"};
+};
+
+enum class work_stage {
+    queued,         ///< waits for a slot
+    running,        ///< its pipeline is sent
+    lookup,         ///< waits for a slot to look its request id up
+    lookup_running, ///< the look-up is sent
+    confirming,     ///< committed; waits until a replica has the position
+};
+
+template <>
+struct name_table<work_stage> {
+    static constexpr std::array<std::string_view, 5> names{"queued", "running", "lookup", "lookup-running",
+                                                           "confirming"};
+};
+
+/// A request that has no answer yet.
+struct work_item {
+    std::uint64_t number = 0;
+    request_handle handle = 0;
+    request body;
+    work_kind kind = work_kind::read;
+    work_stage stage = work_stage::queued;
+    time_point arrived;
+    bool cancelled = false;         ///< nobody waits for the answer
+    bool revoked = false;           ///< the key was revoked while the work ran
+    bool lost_session = false;      ///< the session's position is not in the present history
+    bool maybe_ran = false;         ///< an earlier attempt may have had its effect
+    bool tracked = false;           ///< its request id is registered as running
+    bool no_replica = false;        ///< the last look found no member with the wanted data
+    bool surely_ended = false;      ///< commit of a transaction that this holder rolled back
+    std::optional<member_id> avoid; ///< member whose connection failed under this read
+    member_id target;               ///< member on which it runs
+    term_number term = 0;           ///< term in which it was sent
+    connection_number connection = 0;
+    time_point sent;
+    std::optional<time_point> complete; ///< evidence of the replica when the read was sent
+    position floor;                     ///< position that the member had when the read was sent
+    answer pending;                     ///< held back while confirming
+};
+
+struct open_transaction {
+    transaction_id id;
+    account_id account;
+    key_id key;
+    connection_number connection = 0;
+    member_id member;
+    term_number term = 0;
+    time_point last_used;
+    std::uint64_t step = 0; ///< work item that is queued or running; 0 if idle
+};
+
+struct probe_state {
+    std::uint64_t sequence = 0; ///< outstanding question; 0 if none
+    time_point asked;
+    bool fresh = false;  ///< the outstanding question uses a new connection
+    bool failed = false; ///< the last question failed
+    bool fresh_failed =
+        false;            ///< a question over a new connection failed or stayed silent since the last answer
+    bool refused = false; ///< the member refused a new connection
+    time_point followed;  ///< last order to follow the primary
+};
+
+/// Change of primary that was ordered and has no result yet.
+struct pending_promotion {
+    member_id member;
+    term_number expected = 0;
+    time_point ordered;
+};
+
+/// State of one holder. Its functions are spread over holder_*.cpp by subject.
+class database_holder::implementation {
+public:
+    implementation(database_settings settings, epoch_number epoch, time_point now);
+
+    // database_holder.cpp: events
+    auto set_authority(time_point valid_until) -> void { authority_ = valid_until; }
+    auto update_settings(time_point now, database_settings settings) -> void;
+    auto on_cancel(time_point now, request_handle handle) -> void;
+    auto on_key_revoked(time_point now, const key_id& key) -> void;
+    auto on_connected(time_point now, connection_number connection, bool success) -> void;
+    auto on_connection_lost(time_point now, connection_number connection) -> void;
+    auto on_pipeline(time_point now, connection_number connection, std::uint64_t sequence,
+                     pipeline_result outcome) -> void;
+    auto on_timer(time_point now) -> void;
+    auto start_drain() -> void { draining_ = true; }
+    [[nodiscard]] auto drained() const -> bool;
+    [[nodiscard]] auto take_actions() -> std::vector<holder_action>;
+    [[nodiscard]] auto status(time_point now) const -> holder_status;
+
+    // holder_queue.cpp: admission, routing and start
+    auto on_request(time_point now, request_handle handle, request work) -> void;
+    auto pump(time_point now) -> void;
+
+    // holder_failover.cpp: probes and change of primary
+    auto on_member_status(time_point now, const member_id& member, std::uint64_t sequence,
+                          std::optional<member_status> status) -> void;
+    auto on_promoted(time_point now, const member_id& member, bool success, term_number term) -> void;
+
+private:
+    // database_holder.cpp
+    auto apply_settings(time_point now) -> void;
+    auto expire(time_point now) -> void;
+    auto expire_one(time_point now, work_item& work) -> void;
+    [[nodiscard]] auto has_authority(time_point now) const -> bool { return now < authority_; }
+    auto find(std::uint64_t number) -> work_item*;
+    auto deliver(time_point now, work_item& work, answer value) -> void;
+    auto refuse(time_point now, work_item& work, failure_code code, std::string message,
+                duration retry_after = {}) -> void;
+    auto give_unknown(time_point now, work_item& work, failure_code code, std::string message) -> void;
+    auto event(std::string kind, std::string detail) -> void;
+    auto drop_connection(time_point now, connection_number connection) -> void;
+
+    // holder_queue.cpp
+    auto validate(const request& work) const -> std::optional<failure>;
+    auto enqueue(time_point now, work_item& work) -> bool;
+    auto requeue(time_point now, work_item& work) -> void;
+    [[nodiscard]] auto lane_of(const work_item& work) const -> queue_lane;
+    [[nodiscard]] auto expected_wait(time_point now, const work_item& work) const -> duration;
+    auto check_start(time_point now, work_item& work) -> start_check;
+    auto check_session(time_point now, work_item& work) -> std::optional<start_check>;
+    auto check_primary(time_point now, work_item& work) -> start_check;
+    auto check_read(time_point now, work_item& work) -> start_check;
+    auto start(time_point now, work_item& work) -> void;
+    auto launch(time_point now, work_item& work, const member_id& member, std::vector<statement> statements)
+        -> void;
+    auto start_lookups(time_point now) -> void;
+    auto note_service_time(const work_item& work, duration taken) -> void;
+
+    // holder_reads.cpp
+    auto read_candidates(time_point now, const work_item& work) -> std::vector<read_candidate>;
+    auto start_read(time_point now, work_item& work) -> void;
+    auto finish_read(time_point now, work_item& work, pipeline_result outcome) -> void;
+    auto read_lost(time_point now, work_item& work) -> void;
+
+    // holder_writes.cpp: at-most-once writes and their acknowledgement
+    auto start_write(time_point now, work_item& work) -> void;
+    auto finish_write(time_point now, work_item& work, pipeline_result outcome) -> void;
+    auto finish_lookup(time_point now, work_item& work, const pipeline_result& outcome) -> void;
+    /// The pipeline of a write or commit ended without a result. Looks the request id up if there is time.
+    auto resolve_doubt(time_point now, work_item& work) -> void;
+    auto look_up(work_item& work) -> void;
+    [[nodiscard]] auto is_current(const work_item& work) const -> bool;
+    auto acknowledge(time_point now, work_item& work, answer value) -> void;
+    [[nodiscard]] auto is_confirmed(const work_item& work) const -> bool;
+    auto check_confirmations(time_point now) -> void;
+    auto insert_request(const work_item& work) const -> statement;
+
+    // holder_transactions.cpp
+    auto admit_step(time_point now, work_item& work) -> bool;
+    auto start_step(time_point now, work_item& work) -> void;
+    auto finish_step(time_point now, work_item& work, pipeline_result outcome) -> void;
+    auto finish_commit(time_point now, work_item& work, pipeline_result outcome) -> void;
+    /// Rolls the transaction back by closing its connection.
+    auto end_transaction(time_point now, std::uint64_t number, failure_code code, const std::string& reason)
+        -> void;
+    auto end_transactions(time_point now, failure_code code, const std::string& reason) -> void;
+    auto expire_transactions(time_point now) -> void;
+    [[nodiscard]] auto transaction_limit_reached(const account_id& account) const -> bool;
+
+    // holder_failover.cpp
+    auto send_probe(time_point now, const member_id& member, bool fresh) -> void;
+    auto probe_soon(time_point now, const member_id& member, duration spacing) -> void;
+    auto probe_all(time_point now) -> void;
+    auto keep_probing(time_point now) -> void;
+    auto watch_group(time_point now) -> void;
+    [[nodiscard]] auto is_suspected(time_point now, const known_member& member) const -> bool;
+    [[nodiscard]] auto reachable(time_point now, const known_member& member) const -> bool;
+    auto order_change(time_point now, const std::optional<member_id>& old, const std::string& reason) -> void;
+    auto promote(time_point now, const member_id& member, term_number expected) -> void;
+    auto order_follow(time_point now, const known_member& member) -> void;
+    /// Compares the primary with the one in use; ends what ran on a superseded one.
+    auto sync_primary(time_point now) -> void;
+    /// Work whose member may not be used any more. Its late results are ignored.
+    auto abandon_member(time_point now, const member_id& member) -> void;
+    auto hand_over(time_point now) -> void;
+    [[nodiscard]] auto writes_running() const -> bool;
+    auto end_writes(time_point now) -> void;
+
+    database_settings settings_;
+    epoch_number epoch_;
+    time_point authority_;
+    bool draining_ = false;
+    std::vector<holder_action> actions_;
+    member_view view_;
+    connection_table pool_{actions_};
+    retry_budget budget_;
+    std::unique_ptr<queue_policy> queue_;
+    std::unique_ptr<read_policy> reads_;
+    std::unique_ptr<promotion_policy> promotions_;
+
+    std::unordered_map<std::uint64_t, work_item> works_;
+    std::unordered_map<request_handle, std::uint64_t> by_handle_;
+    std::map<std::pair<account_id, request_id>, std::uint64_t> running_ids_;
+    std::deque<std::uint64_t> lookups_;  ///< work in stage `lookup`, oldest first
+    std::set<std::uint64_t> confirming_; ///< work in stage `confirming`
+    std::uint64_t next_number_ = 1;
+    std::array<double, queue_lanes> service_us_{2000, 2000, 2000, 2000}; ///< moving average per lane
+
+    std::map<std::uint64_t, open_transaction> transactions_;
+    std::uint64_t next_transaction_ = 1;
+    std::set<std::uint64_t> doubtful_commits_; ///< transactions whose commit has no known result
+
+    std::map<member_id, probe_state> probes_;
+    std::uint64_t next_probe_ = 1;
+    time_point last_timer_;
+    time_point observing_since_; ///< silence is counted from here, since this process may have been paused
+    std::optional<member_id> served_primary_;
+    term_number served_term_ = 0;
+    time_point primary_missing_since_;
+    time_point changed_; ///< last completed change of primary
+    time_point change_attempted_;
+    bool abandoning_ = false;
+    std::optional<pending_promotion> promotion_;
+    std::optional<time_point> hand_over_started_;
+    std::optional<time_point> quiet_since_; ///< no write ran on the leaving primary since then
+    time_point hand_over_after_;            ///< pause after a hand-over that did not succeed
+    holder_status counters_;
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/holder_transactions.cpp
@@ -0,0 +1,203 @@
+#include "holder_impl.h"
+#include "sql_states.h"
+
+#include <algorithm>
+
+namespace citronlug {
+
+namespace {
+
+constexpr auto idle_limit = 5s;
+constexpr std::size_t doubtful_kept = 1024;
+
+} // namespace
+
+auto database_holder::implementation::admit_step(time_point now, work_item& work) -> bool {
+    const auto& id = work.body.transaction;
+    const auto it = id.epoch == epoch_ ? transactions_.find(id.number) : transactions_.end();
+    if (it != transactions_.end()) {
+        if (it->second.account != work.body.account || it->second.key != work.body.key) {
+            refuse(now, work, failure_code::no_route, "there is no such transaction");
+            return false;
+        }
+        if (it->second.step != 0) {
+            refuse(now, work, failure_code::duplicate_running, "a statement of this transaction is running");
+            return false;
+        }
+        it->second.step = work.number;
+        return true;
+    }
+    const auto ours = id.epoch == epoch_ && id.number < next_transaction_;
+    if (work.kind == work_kind::commit) {
+        // The commit may be a repeated one whose answer was lost; its row tells.
+        work.surely_ended = ours && !doubtful_commits_.contains(id.number);
+        work.maybe_ran = true;
+        if (!work.body.id.empty()) {
+            look_up(work);
+            return false;
+        }
+        work.maybe_ran = !work.surely_ended;
+    }
+    refuse(now, work, ours || id.epoch != epoch_ ? failure_code::transaction_ended : failure_code::no_route,
+           "the transaction is not open");
+    return false;
+}
+
+auto database_holder::implementation::start_step(time_point now, work_item& work) -> void {
+    if (work.kind == work_kind::begin) {
+        launch(now, work, work.target, {{"BEGIN", {}}});
+        return;
+    }
+    const auto it = transactions_.find(work.body.transaction.number);
+    if (it == transactions_.end() || it->second.step != work.number) {
+        refuse(now, work, failure_code::transaction_ended, "the transaction is not open");
+        return;
+    }
+    auto pipeline = std::vector<statement>{};
+    if (work.kind == work_kind::run) {
+        pipeline.push_back(work.body.body);
+    } else if (work.kind == work_kind::rollback) {
+        pipeline.push_back({"ROLLBACK", {}});
+    } else {
+        if (!work.body.id.empty()) {
+            pipeline.push_back(insert_request(work));
+        }
+        pipeline.push_back({"COMMIT", {}});
+        pipeline.push_back({"SELECT citronlug_position()", {}});
+    }
+    launch(now, work, it->second.member, std::move(pipeline));
+}
+
+auto database_holder::implementation::finish_step(time_point now, work_item& work, pipeline_result outcome)
+    -> void {
+    const auto finished = outcome.status == pipeline_status::finished && !outcome.results.empty();
+    auto value = answer{};
+    value.outcome = verdict::done;
+    value.served_by = work.target;
+    value.reached = work.body.session.value_or(position{});
+    value.transaction = work.body.transaction;
+    const auto number = work.body.transaction.number;
+    switch (work.kind) {
+    case work_kind::begin:
+        if (!finished) {
+            refuse(now, work, failure_code::statement_failed, "the transaction could not be opened");
+            return;
+        }
+        if (work.cancelled || work.revoked || !has_authority(now) || !is_current(work)) {
+            pool_.close(now, work.connection);
+            refuse(now, work, work.revoked ? failure_code::unauthorised : failure_code::transaction_ended,
+                   "the transaction was rolled back");
+            return;
+        }
+        pool_.pin(now, work.connection, true);
+        value.transaction = {epoch_, next_transaction_++};
+        transactions_[value.transaction.number] = {
+            value.transaction, work.body.account, work.body.key, work.connection,
+            work.target,       work.term,         now,           0};
+        deliver(now, work, std::move(value));
+        return;
+    case work_kind::run:
+        if (!finished) {
+            transactions_.erase(number); // its connection is closed already
+            refuse(now, work, failure_code::statement_failed,
+                   outcome.sqlstate + ": " + outcome.message + "; the transaction was rolled back");
+            return;
+        }
+        value.rows = std::move(outcome.results.front());
+        deliver(now, work, std::move(value));
+        return;
+    case work_kind::rollback:
+        transactions_.erase(number);
+        if (pool_.find(work.connection) != nullptr) {
+            pool_.pin(now, work.connection, false);
+        }
+        deliver(now, work, std::move(value));
+        return;
+    default:
+        finish_commit(now, work, std::move(outcome));
+    }
+}
+
+auto database_holder::implementation::finish_commit(time_point now, work_item& work, pipeline_result outcome)
+    -> void {
+    transactions_.erase(work.body.transaction.number);
+    const auto commit = std::size_t{work.body.id.empty() ? 0U : 1U};
+    const auto reached =
+        outcome.results.size() == commit + 2 ? read_position(outcome.results.back()) : std::nullopt;
+    if (outcome.status == pipeline_status::finished && reached) {
+        pool_.pin(now, work.connection, false);
+        auto value = answer{};
+        value.outcome = verdict::done;
+        value.reached = *reached;
+        value.transaction = work.body.transaction;
+        acknowledge(now, work, std::move(value));
+    } else if (outcome.status == pipeline_status::finished || outcome.results.size() > commit) {
+        pool_.close(now, work.connection);
+        doubtful_commits_.insert(work.body.transaction.number);
+        resolve_doubt(now, work);
+    } else if (commit == 1 && outcome.results.empty() && outcome.sqlstate == unique_violation) {
+        work.maybe_ran = true;
+        look_up(work);
+    } else {
+        refuse(now, work, failure_code::statement_failed,
+               outcome.sqlstate + ": " + outcome.message + "; the transaction was rolled back");
+    }
+}
+
+auto database_holder::implementation::end_transaction(time_point now, std::uint64_t number, failure_code code,
+                                                      const std::string& reason) -> void {
+    const auto it = transactions_.find(number);
+    if (it == transactions_.end()) {
+        return;
+    }
+    const auto ended = it->second;
+    transactions_.erase(it);
+    pool_.close(now, ended.connection);
+    auto* const work = find(ended.step);
+    if (work == nullptr) {
+        return;
+    }
+    if (work->kind == work_kind::commit && work->stage == work_stage::running) {
+        doubtful_commits_.insert(number);
+        if (doubtful_commits_.size() > doubtful_kept) {
+            doubtful_commits_.erase(doubtful_commits_.begin());
+        }
+        resolve_doubt(now, *work);
+    } else {
+        refuse(now, *work, code, reason + "; the transaction was rolled back");
+    }
+}
+
+auto database_holder::implementation::end_transactions(time_point now, failure_code code,
+                                                       const std::string& reason) -> void {
+    while (!transactions_.empty()) {
+        end_transaction(now, transactions_.begin()->first, code, reason);
+    }
+}
+
+auto database_holder::implementation::expire_transactions(time_point now) -> void {
+    if (!has_authority(now)) {
+        end_transactions(now, failure_code::no_authority, "this instance lost its authority");
+        return;
+    }
+    auto due = std::vector<std::uint64_t>{};
+    for (const auto& [number, it] : transactions_) {
+        if (it.step == 0 && now - it.last_used >= idle_limit) {
+            due.push_back(number);
+        }
+    }
+    for (const auto number : due) {
+        end_transaction(now, number, failure_code::transaction_ended,
+                        "the transaction was idle for too long");
+    }
+}
+
+auto database_holder::implementation::transaction_limit_reached(const account_id& account) const -> bool {
+    // Open transactions hold connections, so one account may have at most half of those set aside for them.
+    const auto limit = pool_.pinned_limit();
+    const auto own = std::count_if(transactions_.begin(), transactions_.end(),
+                                   [&](const auto& it) { return it.second.account == account; });
+    return pool_.pinned() >= limit || own >= std::max(limit / 2, 1);
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/member_view.cpp
@@ -0,0 +1,246 @@
+#include <citronlug/member_view.h>
+
+#include <algorithm>
+
+namespace citronlug {
+
+namespace {
+
+constexpr auto evidence_spacing = 10ms; // bounds the ring at high write rates
+constexpr auto evidence_life = 30s;     // older entries can satisfy no sensible accepted age
+constexpr auto replica_silence = 1s;    // a replica without an answer for this long is too old
+constexpr auto discovery_time = 600ms;  // members that do not answer are given up at the start
+
+auto term_of(const member_status& status) -> term_number {
+    return status.history.empty() ? status.at.term : std::max(status.at.term, status.history.back().term);
+}
+
+auto data_term_of(const member_status& status) -> term_number {
+    return status.history.empty() ? status.at.term : status.history.back().term;
+}
+
+/// True if the position lies on the branch that the history describes.
+auto on_branch(const std::vector<term_start>& history, term_number newest, position wanted) -> bool {
+    if (wanted.term == 0 || (history.empty() && wanted.term == newest)) {
+        return true;
+    }
+    if (wanted.term > newest || history.empty()) {
+        return false;
+    }
+    if (wanted.term < history.front().term) {
+        return wanted.log <= history.front().start;
+    }
+    const auto it = std::find_if(history.begin(), history.end(),
+                                 [&](const auto& entry) { return entry.term == wanted.term; });
+    if (it == history.end()) {
+        return wanted.term == newest; // the newest term may not have reached the reported history yet
+    }
+    // The term ended where the next one started; what it had beyond that point is lost.
+    return std::next(it) == history.end() || wanted.log <= std::next(it)->start;
+}
+
+} // namespace
+
+auto known_member::term() const -> term_number {
+    return status ? term_of(*status) : 0;
+}
+
+auto known_member::data_position() const -> position {
+    return status ? position{data_term_of(*status), status->at.log} : position{};
+}
+
+auto contains(const member_status& status, position wanted) -> bool {
+    return on_branch(status.history, data_term_of(status), wanted) && status.at.log >= wanted.log;
+}
+
+member_view::member_view(time_point now)
+    : started_(now) {}
+
+auto member_view::set_members(const database_settings& settings, time_point now) -> void {
+    auto updated = std::vector<known_member>{};
+    for (std::size_t n = 0; n < settings.members.size(); ++n) {
+        const auto* const old = find(settings.members[n]);
+        auto it =
+            old != nullptr ? *old : known_member{settings.members[n], {}, false, std::nullopt, now, now};
+        it.domain = n < settings.member_domains.size() ? settings.member_domains[n] : failure_domain{};
+        it.leaving =
+            std::find(settings.leaving.begin(), settings.leaving.end(), it.id) != settings.leaving.end();
+        updated.push_back(std::move(it));
+    }
+    members_ = std::move(updated);
+    if (primary_ && find(*primary_) == nullptr) {
+        primary_.reset();
+    }
+}
+
+auto member_view::find(const member_id& member) const -> const known_member* {
+    const auto it =
+        std::find_if(members_.begin(), members_.end(), [&](const auto& known) { return known.id == member; });
+    return it == members_.end() ? nullptr : &*it;
+}
+
+auto member_view::find_member(const member_id& member) -> known_member* {
+    const auto it =
+        std::find_if(members_.begin(), members_.end(), [&](const auto& known) { return known.id == member; });
+    return it == members_.end() ? nullptr : &*it;
+}
+
+auto member_view::primary() const -> const known_member* {
+    return primary_ ? find(*primary_) : nullptr;
+}
+
+auto member_view::highest_term() const -> term_number {
+    auto highest = std::max(term_, fence_);
+    for (const auto& it : members_) {
+        highest = std::max(highest, it.term());
+    }
+    return highest;
+}
+
+auto member_view::heard(time_point now, const member_id& member) -> void {
+    if (auto* const it = find_member(member)) {
+        it->heard = std::max(it->heard, now);
+    }
+}
+
+auto member_view::on_status(time_point now, const member_id& member, time_point asked, member_status status)
+    -> void {
+    auto* const it = find_member(member);
+    if (it == nullptr) {
+        return;
+    }
+    it->heard = std::max(it->heard, now);
+    if (it->status && asked < it->asked) {
+        return; // an older answer that arrived late
+    }
+    it->asked = asked;
+    it->status = std::move(status);
+    choose_primary(now);
+    if (primary_ && *primary_ == member) {
+        note_primary_position(asked, {term_, it->status->at.log});
+    }
+}
+
+auto member_view::choose_primary(time_point now) -> void {
+    auto answered = std::size_t{0};
+    const known_member* best = nullptr;
+    for (const auto& it : members_) {
+        answered += it.status ? 1 : 0;
+        if (it.status && it.status->role == member_role::primary &&
+            (best == nullptr || it.term() > best->term())) {
+            best = &it;
+        }
+    }
+    // A new holder must not take a superseded primary for the present one only because that answered first.
+    discovered_ = discovered_ || answered == members_.size() ||
+                  (now - started_ >= discovery_time && answered * 2 > members_.size());
+    if (!discovered_) {
+        return;
+    }
+    auto highest = term_number{0};
+    for (const auto& it : members_) {
+        highest = std::max(highest, it.term());
+    }
+    const auto* const present = primary();
+    const auto superseded =
+        present != nullptr && (highest > term_ || (present->status && present->term() >= term_ &&
+                                                   present->status->role == member_role::replica));
+    if (superseded) {
+        primary_.reset();
+    }
+    if (!primary_ && best != nullptr && accepts(best->id, best->term())) {
+        set_primary(best->id, best->term());
+        note_primary_position(best->asked, {term_, best->status->at.log});
+    }
+}
+
+auto member_view::set_primary(const member_id& member, term_number term) -> void {
+    primary_ = member;
+    term_ = term;
+}
+
+auto member_view::drop_primary() -> void {
+    primary_.reset();
+}
+
+auto member_view::accepts(const member_id& member, term_number term) const -> bool {
+    auto highest = term_;
+    for (const auto& it : members_) {
+        highest = std::max(highest, it.term());
+    }
+    return term >= highest &&
+           (term > fence_ || (fenced_member_ && *fenced_member_ == member && term == fence_));
+}
+
+auto member_view::clear_fence(term_number term, const member_id& member) -> void {
+    if (term == fence_ && fenced_member_ && *fenced_member_ == member) {
+        fence_ = 0;
+        fenced_member_.reset();
+    }
+}
+
+auto member_view::set_fence(term_number term, std::optional<member_id> member) -> void {
+    if (term == fence_ && fenced_member_ != member) {
+        fenced_member_.reset(); // two members may have taken this term, so neither counts
+    } else if (term > fence_) {
+        fence_ = term;
+        fenced_member_ = std::move(member);
+    }
+}
+
+auto member_view::note_primary_position(time_point asked, position at) -> void {
+    if (!primary_ || at.term != term_) {
+        return;
+    }
+    if (evidence_term_ != term_) {
+        ring_.clear();
+        evidence_term_ = term_;
+    }
+    if (auto* const it = find_member(*primary_); it != nullptr && it->status && it->term() == term_) {
+        it->status->at.term = term_;
+        it->status->at.log = std::max(it->status->at.log, at.log);
+    }
+    if (!ring_.empty() && (asked < ring_.back().asked + evidence_spacing || at.log < ring_.back().log)) {
+        return;
+    }
+    ring_.push_back({asked, at.log});
+    while (ring_.front().asked + evidence_life < asked) {
+        ring_.pop_front();
+    }
+}
+
+auto member_view::check(position wanted) const -> history_check {
+    if (wanted.term == 0) {
+        return history_check::held;
+    }
+    const auto* const it = primary();
+    if (it == nullptr || !it->status || it->term() < term_ || wanted.term > term_) {
+        return history_check::later;
+    }
+    if (!on_branch(it->status->history, term_, wanted)) {
+        return history_check::missing;
+    }
+    return it->status->at.log >= wanted.log ? history_check::held : history_check::later;
+}
+
+auto member_view::replica_has(const known_member& replica, position wanted) const -> bool {
+    return replica.status && replica.data_position().term == term_ &&
+           replica.status->role == member_role::replica && contains(*replica.status, wanted);
+}
+
+auto member_view::complete_at(time_point now, const known_member& replica) const
+    -> std::optional<time_point> {
+    if (!replica.status || replica.status->role != member_role::replica ||
+        replica.data_position().term != evidence_term_ || now - replica.asked > replica_silence) {
+        return std::nullopt;
+    }
+    // A replica that has the primary's position of time t has every write up to t.
+    const auto it = std::upper_bound(ring_.begin(), ring_.end(), replica.status->at.log,
+                                     [](log_position log, const evidence& entry) { return log < entry.log; });
+    if (it == ring_.begin()) {
+        return std::nullopt;
+    }
+    return std::prev(it)->asked;
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/retry_budget.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <citronlug/types.h>
+
+namespace citronlug {
+
+/// Limits retries to a tenth of the requests, but allows one a second, so that retries do not multiply the
+/// load of an ailing group. Not thread-safe.
+class retry_budget {
+public:
+    explicit retry_budget(time_point now);
+
+    auto on_request() -> void;
+    /// Takes one retry if the budget has one.
+    [[nodiscard]] auto take(time_point now) -> bool;
+
+private:
+    double level_;
+    time_point minimum_used_; ///< when the allowance of one a second was last used
+};
+
+} // namespace citronlug
