Test the holder against a simulated database group

A fake group with logs, terms, asynchronous replication, partitions, crashes and lost answers drives the holder in simulated time; the properties check the promises of the design under random faults. A step of a transaction is no longer answered after authority has ended.

--- a/src/libcitronlug/database_holder.cpp
+++ b/src/libcitronlug/database_holder.cpp
@@ -52,6 +52,7 @@
         }
     }
     sync_primary(now);
+    hand_over(now); // a leaving primary takes no new write from here on
     pump(now);
 }
 
--- /dev/null
+++ b/src/libcitronlug/holder_test_group.h
@@ -0,0 +1,486 @@
+#pragma once
+
+// A small database group for tests of the holder. It performs the holder's actions in simulated time.
+
+#include <citronlug/testing.h>
+
+#include <citronlug/database_holder.h>
+
+namespace citronlug::testing {
+
+struct log_entry {
+    term_number term = 0;
+    std::string id;    ///< "account/request id"; empty without a recorded id
+    std::string token; ///< identifies the effect
+    time_point committed;
+    std::string outcome;
+};
+
+struct fake_member {
+    member_id id;
+    bool up = true;
+    bool cut = false; ///< partitioned from the holder; what was sent arrives when the partition ends
+    bool primary = false;
+    term_number known_term = 1;
+    std::vector<term_start> history{{1, 0}};
+    std::optional<std::size_t> following;
+    duration lag = 5ms;
+    std::vector<log_entry> log;
+    int outstanding = 0; ///< pipelines without a result on connections that are open
+
+    [[nodiscard]] auto has(const std::string& token) const -> bool {
+        return std::any_of(log.begin(), log.end(), [&](const auto& it) { return it.token == token; });
+    }
+};
+
+struct fake_connection {
+    std::size_t member = 0;
+    bool open = true;  ///< at the holder
+    bool alive = true; ///< at the member
+    bool silent = false;
+    std::uint64_t running = 0; ///< sequence of the pipeline without a result
+    std::deque<run_pipeline> inbox;
+    std::optional<std::vector<log_entry>> transaction;
+    term_number transaction_term = 0;
+    std::string owner; ///< of the open transaction
+};
+
+/// Members, network and one holder. `step` runs simulated time; all faults are fields or functions.
+class fake_group {
+public:
+    explicit fake_group(std::uint32_t seed, std::size_t n = 3)
+        : random(seed) {
+        for (std::size_t i = 0; i < n; ++i) {
+            auto it = fake_member{member_id{fmt::format("m{}:1", i)}};
+            it.primary = i == 0;
+            it.following = i == 0 ? std::nullopt : std::optional<std::size_t>{0};
+            members.push_back(it);
+            settings.members.push_back(it.id);
+        }
+        settings.database = database_id{"orders-1"};
+    }
+
+    auto start() -> void {
+        holder = std::make_unique<database_holder>(settings, 7, now);
+        renew();
+        tick();
+    }
+    /// Runs simulated time.
+    auto step(duration span) -> void {
+        const auto end = now + span;
+        while (!events.empty() && events.begin()->first <= end) {
+            auto it = events.begin();
+            now = std::max(now, it->first);
+            auto action = std::move(it->second);
+            events.erase(it);
+            action();
+            perform();
+        }
+        now = end;
+    }
+    auto later(duration delay, std::function<void()> action) -> void {
+        events.emplace(now + delay, std::move(action));
+    }
+    auto send(request work) -> request_handle {
+        work.account = work.account.empty() ? account_id{"school-shop"} : work.account;
+        work.key = work.key.empty() ? key_id{"k1"} : work.key;
+        work.database = settings.database;
+        const auto handle = next_handle++;
+        deliver_to_holder([=, this, body = std::move(work)] { holder->on_request(now, handle, body); });
+        perform();
+        return handle;
+    }
+    auto perform() -> void {
+        if (!holder) {
+            return;
+        }
+        for (auto& action : holder->take_actions()) {
+            std::visit([&](auto& it) { act(it); }, action);
+        }
+    }
+    /// The holder's process is stopped until then; its input waits.
+    auto pause(duration span) -> void { paused_until = now + span; }
+    auto crash(std::size_t n) -> void {
+        members[n].up = false;
+        for (auto& [number, it] : connections) {
+            if (it.member == n && it.alive) {
+                it.alive = false;
+                it.transaction.reset();
+                if (!members[n].cut) {
+                    later(delay(), [this, c = number] { report_lost(c); });
+                }
+            }
+        }
+    }
+    auto report_lost(connection_number number) -> void {
+        auto& it = connections[number];
+        it.alive = false;
+        it.transaction.reset();
+        if (it.open) {
+            finish(it);
+            it.open = false;
+            deliver_to_holder([=, this] { holder->on_connection_lost(now, number); });
+        }
+    }
+    /// The member that is primary in the highest term.
+    [[nodiscard]] auto true_primary() const -> const fake_member& {
+        const auto* best = &members[0];
+        for (const auto& it : members) {
+            if (it.primary && (!best->primary || it.history.back().term > best->history.back().term)) {
+                best = &it;
+            }
+        }
+        return *best;
+    }
+    [[nodiscard]] auto answer_to(request_handle handle) const -> const answer* {
+        const auto it = answers.find(handle);
+        return it == answers.end() ? nullptr : &it->second;
+    }
+    [[nodiscard]] auto saw(const std::string& kind) const -> bool {
+        return std::any_of(log.begin(), log.end(), [&](const auto& it) { return it.kind == kind; });
+    }
+
+    std::mt19937 random;
+    time_point now = at(0s);
+    std::vector<fake_member> members;
+    database_settings settings;
+    std::unique_ptr<database_holder> holder;
+    std::map<request_handle, answer> answers;
+    std::function<void(request_handle, const answer&)> on_answer;
+    std::map<std::uint64_t, std::set<std::string>> snapshots; ///< effects that a read saw
+    std::map<connection_number, fake_connection> connections;
+    std::vector<holder_event> log;
+    std::vector<std::string> faults; ///< what the holder must never do
+    std::vector<run_pipeline> sent;
+    bool renew_authority = true;
+    time_point authority;
+    duration service = 1ms;
+    bool lose_promotions = false; ///< the order is carried out, but its answer is lost
+
+private:
+    auto delay() -> duration { return duration{200 + static_cast<int>(random() % 800)}; }
+    /// Input of a stopped holder waits until it runs again.
+    auto deliver_to_holder(std::function<void()> action) -> void {
+        if (now < paused_until) {
+            events.emplace(paused_until, std::move(action));
+        } else {
+            action();
+        }
+    }
+    auto renew() -> void {
+        if (renew_authority) {
+            authority = now + 2s;
+            holder->set_authority(authority);
+        }
+    }
+    auto tick() -> void {
+        replicate();
+        if (now >= paused_until && (now.time_since_epoch() / 5ms) % 10 == 0) {
+            renew();
+            holder->on_timer(now);
+        }
+        later(5ms, [this] { tick(); });
+    }
+    auto index_of(const member_id& id) const -> std::size_t {
+        for (std::size_t n = 0; n < members.size(); ++n) {
+            if (members[n].id == id) {
+                return n;
+            }
+        }
+        return 0;
+    }
+    auto replicate() -> void {
+        for (auto& it : members) {
+            if (it.primary || !it.up || !it.following || !members[*it.following].up) {
+                continue;
+            }
+            const auto& source = members[*it.following];
+            if (!source.primary || source.history.back().term < it.known_term) {
+                continue;
+            }
+            if (it.history != source.history) {
+                auto common = it.log.size();
+                for (const auto& start : source.history) {
+                    if (start.term > it.history.back().term) {
+                        common = std::min<std::size_t>(common, start.start);
+                        break;
+                    }
+                }
+                it.log.resize(std::min(common, source.log.size()));
+                it.history = source.history;
+                it.known_term = source.known_term;
+            }
+            while (it.log.size() < source.log.size() && source.log[it.log.size()].committed + it.lag <= now) {
+                it.log.push_back(source.log[it.log.size()]);
+            }
+        }
+    }
+    auto finish(fake_connection& it) -> void {
+        members[it.member].outstanding -= it.running != 0 ? 1 : 0;
+        it.running = 0;
+    }
+
+    auto act(const open_connection& it) -> void {
+        const auto n = index_of(it.member);
+        connections[it.connection] = {n};
+        later(delay() * 10, [this, c = it.connection, n] {
+            if (!members[n].cut && connections[c].open) {
+                const auto up = members[n].up;
+                connections[c].open = connections[c].alive = up;
+                deliver_to_holder([=, this] { holder->on_connected(now, c, up); });
+            }
+        });
+    }
+    auto act(const close_connection& it) -> void {
+        auto& connection = connections[it.connection];
+        finish(connection);
+        connection.open = false;
+        connection.inbox.push_back({});
+        later(delay(), [this, c = it.connection] { arrive(c); });
+    }
+    auto act(const run_pipeline& it) -> void {
+        auto& connection = connections[it.connection];
+        auto& member = members[connection.member];
+        if (!connection.open || connection.running != 0) {
+            faults.emplace_back("a pipeline on a connection that is closed or busy");
+        }
+        if (++member.outstanding > settings.slots) {
+            faults.emplace_back("more statements than slots");
+        }
+        connection.running = it.sequence;
+        connection.inbox.push_back(it);
+        sent.push_back(it);
+        later(delay(), [this, c = it.connection] { arrive(c); });
+    }
+    /// Next message of a connection reaches the member; during a partition it waits.
+    auto arrive(connection_number number) -> void {
+        auto& it = connections[number];
+        if (members[it.member].cut || it.silent) {
+            later(20ms, [this, number] { arrive(number); });
+            return;
+        }
+        if (it.inbox.empty()) {
+            return;
+        }
+        const auto next = it.inbox.front();
+        it.inbox.pop_front();
+        if (!it.alive || !members[it.member].up) {
+            return;
+        }
+        if (next.statements.empty()) {
+            it.alive = false;
+            it.transaction.reset();
+            return;
+        }
+        later(random() % 50 == 0 ? service * 40 : service, [this, number, next] {
+            auto& connection = connections[number];
+            if (!connection.alive || !members[connection.member].up) {
+                return;
+            }
+            auto outcome = execute(connection, next.statements);
+            later(delay(), [this, number, next, outcome = std::move(outcome)] {
+                reply(number, next.sequence, outcome);
+            });
+        });
+    }
+    auto reply(connection_number number, std::uint64_t sequence, const pipeline_result& outcome) -> void {
+        auto& it = connections[number];
+        if (members[it.member].cut || it.silent) {
+            later(20ms, [=, this] { reply(number, sequence, outcome); });
+            return;
+        }
+        if (it.open && it.running == sequence) {
+            finish(it);
+        }
+        // A result that arrives late is passed on too: the holder has to discard it.
+        deliver_to_holder([=, this] { holder->on_pipeline(now, number, sequence, outcome); });
+    }
+    auto execute(fake_connection& it, const std::vector<statement>& statements) -> pipeline_result {
+        auto outcome = pipeline_result{pipeline_status::finished, {}, {}, {}};
+        for (const auto& text : statements) {
+            auto rows = row_set{};
+            const auto error = run(it, text, rows);
+            if (!error.empty()) {
+                it.transaction.reset();
+                outcome.status = pipeline_status::refused;
+                outcome.sqlstate = error;
+                break;
+            }
+            outcome.results.push_back(rows);
+        }
+        return outcome;
+    }
+    auto run(fake_connection& it, const statement& text, row_set& rows) -> std::string {
+        auto& member = members[it.member];
+        const auto parameter = [&](std::size_t n) {
+            return text.parameters.at(n).value_or("");
+        };
+        if (text.text == "BEGIN") {
+            if (it.transaction) {
+                faults.emplace_back("BEGIN within an open transaction");
+            }
+            it.transaction.emplace();
+            it.transaction_term = member.history.back().term;
+            it.owner.clear();
+        } else if (text.text == "COMMIT") {
+            if (!member.primary || it.transaction_term != member.history.back().term) {
+                return "25006";
+            }
+            for (auto& entry : it.transaction.value_or(std::vector<log_entry>{})) {
+                entry.term = it.transaction_term;
+                entry.committed = now;
+                member.log.push_back(entry);
+            }
+            it.transaction.reset();
+        } else if (text.text == "ROLLBACK") {
+            it.transaction.reset();
+        } else if (text.text == "SELECT citronlug_position()") {
+            rows = {{"position", "term"},
+                    {{std::to_string(member.log.size()), std::to_string(member.history.back().term)}}};
+        } else if (text.text.starts_with("INSERT INTO citronlug_requests")) {
+            return record(it, parameter(0) + "/" + parameter(1), parameter(2));
+        } else if (text.text.starts_with("SELECT outcome")) {
+            for (const auto& entry : member.log) {
+                if (entry.id == parameter(0) + "/" + parameter(1)) {
+                    rows = {{"outcome"}, {{entry.outcome}}};
+                }
+            }
+        } else if (text.text.starts_with("INSERT INTO effects")) { // parameters: effect, owner
+            if (!member.primary) {
+                return "25006";
+            }
+            if (!it.owner.empty() && it.owner != parameter(1)) {
+                faults.emplace_back("statements of two transactions on one connection");
+            }
+            it.owner = parameter(1);
+            if (it.transaction) {
+                it.transaction->push_back({0, "", parameter(0), now, ""});
+            } else {
+                faults.emplace_back("a write outside of a transaction");
+            }
+            rows.affected = 1;
+        } else if (text.text == "INSERT INTO nowhere") {
+            return "42P01";
+        } else if (text.text == "SELECT effects") { // parameter: echoed
+            auto& seen = snapshots[++next_snapshot];
+            for (const auto& entry : member.log) {
+                seen.insert(entry.token);
+            }
+            rows = {{"echo", "snapshot"}, {{parameter(0), std::to_string(next_snapshot)}}};
+        }
+        return {};
+    }
+    auto record(fake_connection& it, const std::string& id, const std::string& outcome) -> std::string {
+        auto& member = members[it.member];
+        const auto same = [&](const auto& entry) {
+            return entry.id == id;
+        };
+        if (!member.primary) {
+            return "25006";
+        }
+        if (std::any_of(member.log.begin(), member.log.end(), same)) {
+            return "23505";
+        }
+        for (const auto& [number, other] : connections) {
+            if (&other != &it && other.transaction && other.member == it.member &&
+                std::any_of(other.transaction->begin(), other.transaction->end(), same)) {
+                return "55P03"; // a real server waits for the other transaction
+            }
+        }
+        it.transaction->push_back({0, id, "", now, outcome});
+        return {};
+    }
+    auto act(const probe_member& it) -> void {
+        const auto n = index_of(it.member);
+        later(delay(), [this, n, it, asked_cut = members[n].cut] {
+            const auto& member = members[n];
+            if (member.cut || asked_cut) {
+                return;
+            }
+            auto status = std::optional<member_status>{};
+            if (member.up) {
+                status = member_status{member.primary ? member_role::primary : member_role::replica,
+                                       {member.known_term, member.log.size()},
+                                       member.history};
+            }
+            later(delay(), [=, this] {
+                if (!members[n].cut) {
+                    deliver_to_holder(
+                        [=, this] { holder->on_member_status(now, it.member, it.sequence, status); });
+                }
+            });
+        });
+    }
+    auto act(const promote_member& it) -> void {
+        const auto n = index_of(it.member);
+        later(delay(), [this, n, it] {
+            auto& member = members[n];
+            if (member.cut || !member.up) {
+                return;
+            }
+            const auto success =
+                member.known_term == it.expected_term && member.history.back().term == it.expected_term;
+            if (success) {
+                member.primary = true;
+                member.following.reset();
+                member.known_term = it.expected_term + 1;
+                member.history.push_back({member.known_term, member.log.size()});
+            }
+            const auto term = member.known_term;
+            if (!lose_promotions) {
+                later(delay(), [=, this] {
+                    deliver_to_holder([=, this] { holder->on_promoted(now, it.member, success, term); });
+                });
+            }
+        });
+    }
+    auto act(const follow_primary& it) -> void {
+        const auto n = index_of(it.member);
+        later(delay(), [this, n, it] {
+            auto& member = members[n];
+            if (!member.cut && member.up && it.term >= member.known_term &&
+                !(member.primary && it.term == member.known_term)) {
+                member.primary = false;
+                member.known_term = it.term;
+                member.following = index_of(it.primary);
+            }
+        });
+    }
+    auto act(deliver_answer& it) -> void {
+        if (answers.contains(it.handle)) {
+            faults.emplace_back("two answers to one request");
+        }
+        answers[it.handle] = it.value;
+        if (on_answer) {
+            on_answer(it.handle, it.value);
+        }
+    }
+    auto act(const holder_event& it) -> void { log.push_back(it); }
+
+    std::multimap<time_point, std::function<void()>> events;
+    time_point paused_until{};
+    request_handle next_handle = 1;
+    std::uint64_t next_snapshot = 0;
+};
+
+inline auto read_request(time_point deadline, std::optional<duration> max_age = std::nullopt) -> request {
+    auto work = request{};
+    work.route = route_id{"catalogue"};
+    work.deadline = deadline;
+    work.max_age = max_age;
+    work.body = {"SELECT effects", {"echo"}};
+    return work;
+}
+
+inline auto write_request(time_point deadline, const std::string& id, bool idempotent = false) -> request {
+    auto work = request{};
+    work.id = request_id{id};
+    work.route = route_id{"print-order"};
+    work.mode = access_mode::write;
+    work.idempotent = idempotent;
+    work.deadline = deadline;
+    work.body = {"INSERT INTO effects VALUES ($1, $2)", {id, id}};
+    return work;
+}
+
+} // namespace citronlug::testing
--- a/src/libcitronlug/holder_transactions.cpp
+++ b/src/libcitronlug/holder_transactions.cpp
@@ -103,6 +103,10 @@
                    outcome.sqlstate + ": " + outcome.message + "; the transaction was rolled back");
             return;
         }
+        if (!has_authority(now)) {
+            end_transaction(now, number, failure_code::no_authority, "this instance lost its authority");
+            return;
+        }
         value.rows = std::move(outcome.results.front());
         deliver(now, work, std::move(value));
         return;
