--- a/src/include/citronlug/config.h
+++ b/src/include/citronlug/config.h
@@ -4,18 +4,27 @@
 #include <citronlug/outcome.h>
 #include <citronlug/rules.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace citronlug {
 
+inline constexpr std::size_t max_history = 20;
+inline constexpr std::size_t max_change_lines = 40;
+/// Largest value that the platform's store accepts.
+inline constexpr std::size_t max_config_bytes = 1'000'000;
+
 /// One accepted change, for `citronlug rules history`.
 struct config_change {
-    std::uint64_t version = 0;
+    std::uint64_t version = 0; ///< version of the store's object that this change made
+    std::string id;            ///< random; tells after a lost answer whether the change took effect
     std::string author;
     std::string summary;
     std::int64_t time_s = 0; ///< seconds since 1970
+    /// Difference of the rules, at most `max_change_lines` lines.
+    std::vector<std::string> lines;
 
     auto operator==(const config_change&) const -> bool = default;
 };
@@ -36,10 +45,17 @@
 
 /// JSON text without `version`, which the store keeps.
 [[nodiscard]] auto to_json(const configuration& config) -> std::string;
+/// Reads the JSON text. The newest entry of the history gets `version`, since its author could not know it
+/// before the store accepted it. Fails with `bad_request` if the text is malformed.
 [[nodiscard]] auto parse_configuration(const std::string& text, std::uint64_t version)
     -> result<configuration>;
 
 /// A configuration with no rules and no keys and a new token secret.
 [[nodiscard]] auto initial_configuration() -> configuration;
 
+/// Adds a change to the history with a new random id, which it returns. `before` are the rules of the
+/// version that is replaced.
+auto record_change(configuration& config, const rule_set& before, std::string author, std::string summary,
+                   std::int64_t time_s) -> std::string;
+
 } // namespace citronlug
--- a/src/include/citronlug/rules.h
+++ b/src/include/citronlug/rules.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace citronlug {
@@ -85,7 +86,14 @@
 /// Reads a rules file. Reports every faulty line; a file with any error gives no rules.
 [[nodiscard]] auto parse_rules(const std::string& text) -> std::variant<rule_set, std::vector<rule_error>>;
 
-/// One line per rule that was added, removed or changed, with "+", "-" or "~" before it.
+/// Text of a rules file that `parse_rules` reads back to the same rules.
+[[nodiscard]] auto format_rules(const rule_set& rules) -> std::string;
+
+/// "line 3, column 7: MESSAGE; accepted: FORMS"
+[[nodiscard]] auto format_error(const rule_error& error) -> std::string;
+
+/// One line per rule that was added, removed or changed, with "+ ", "- " or "~ " before it. The line
+/// of a changed rule shows its new form.
 [[nodiscard]] auto difference(const rule_set& before, const rule_set& after) -> std::vector<std::string>;
 
 } // namespace citronlug
