Add process settings

Every field is checked and all faults are reported at once with field path and accepted values; unknown fields are faults, so that a misspelt name does not silently leave a default in force.

--- /dev/null
+++ b/src/include/citronlug/settings.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <citronlug/accountant.h>
+#include <citronlug/cell_node.h>
+#include <citronlug/types.h>
+
+#include <array>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace citronlug {
+
+/// Credential of an operator for the administration API. Only the hash of the token is configured.
+struct admin_credential {
+    std::string name;       ///< author of the changes made with it
+    std::string token_hash; ///< SHA-256 of the token in hexadecimal
+};
+
+/// Bounds on callers' connections and requests.
+struct caller_limits {
+    int connections = 2000;
+    int body_bytes = 1'000'000;
+    int header_bytes = 16'384;
+    duration idle = 60s; ///< a connection without a request is closed after this time
+};
+
+/// How statements reach the members.
+enum class connection_mode {
+    holder, ///< through the holder of the database
+    direct, ///< baseline: each instance with its own connections
+};
+
+template <>
+struct name_table<connection_mode> {
+    static constexpr std::array<std::string_view, 2> names{"holder", "direct"};
+};
+
+/// Settings of one process, read once at its start.
+struct process_settings {
+    instance_id instance;
+    cell_id cell;
+    std::string region;
+    failure_domain domain;
+    std::string caller_address; ///< numeric "IP:port", as all addresses here
+    std::string peer_address;
+    std::string admin_address;
+    std::string store_address;
+    std::vector<admin_credential> admin_tokens;
+    std::string peer_secret; ///< shared by all instances; authenticates peers
+    int shards = 2;          ///< holder threads
+    caller_limits limits;
+    lease_settings lease;
+    std::string read_policy = "evidence";
+    std::string queue_policy = "fair";
+    std::string limit_policy = "granted";
+    std::string promotion_policy = "advanced";
+    citronlug::connection_mode connections = connection_mode::holder;
+    /// Peer addresses of some instances of other cells, by cell.
+    std::map<cell_id, std::vector<std::string>> other_cells;
+};
+
+/// One fault in the settings.
+struct setting_error {
+    std::string path; ///< for example "limits.connections" or "admin_tokens[1].sha256"
+    std::string message;
+    std::string accepted; ///< accepted values
+};
+
+/// Names of the policies that the program can load.
+struct policy_names {
+    std::vector<std::string> read{"evidence", "primary"};
+    std::vector<std::string> queue{"fair", "fifo"};
+    std::vector<std::string> limit{"granted", "static_share"};
+    std::vector<std::string> promotion{"advanced"};
+};
+
+/// Reads the settings. Reports all faults at once; unknown fields are faults.
+[[nodiscard]] auto parse_settings(const std::string& text, const policy_names& policies = {})
+    -> std::variant<process_settings, std::vector<setting_error>>;
+
+/// "limits.connections: MESSAGE; accepted: VALUES"
+[[nodiscard]] auto format_error(const setting_error& error) -> std::string;
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/settings.cpp
@@ -0,0 +1,302 @@
+#include <citronlug/settings.h>
+
+#include "numbers.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <set>
+
+namespace citronlug {
+
+namespace {
+
+constexpr auto name_form = "1 to 64 letters, digits, '.', '_' or '-'";
+constexpr auto address_form = "numeric IP:port, for example 127.0.0.1:7001 or [::1]:7001";
+constexpr auto hash_form = "SHA-256 of the token as 64 lower-case hexadecimal digits";
+constexpr std::size_t least_secret_bytes = 16;
+
+auto is_name(const std::string& text) -> bool {
+    return !text.empty() && text.size() <= 64 && std::all_of(text.begin(), text.end(), [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
+               c == '_' || c == '-';
+    });
+}
+
+auto is_hash(const std::string& text) -> bool {
+    return text.size() == 64 && std::all_of(text.begin(), text.end(), [](char c) {
+               return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+           });
+}
+
+/// Reader of one JSON object. Remembers which fields were asked for; the others are unknown.
+class object_reader {
+public:
+    object_reader(QJsonObject object, std::string path, std::vector<setting_error>& errors)
+        : object_(std::move(object))
+        , path_(std::move(path))
+        , errors_(errors) {}
+
+    [[nodiscard]] auto path_of(const std::string& field) const -> std::string {
+        return path_.empty() ? field : path_ + "." + field;
+    }
+
+    auto fail(const std::string& field, std::string message, std::string accepted) -> void {
+        errors_.push_back({path_of(field), std::move(message), std::move(accepted)});
+    }
+
+    /// The field's value; undefined if it is absent.
+    auto take(const std::string& field) -> QJsonValue {
+        known_.insert(field);
+        return object_.value(QString::fromStdString(field));
+    }
+
+    /// Text that satisfies `valid`. Required unless `fallback` is set.
+    auto text(const std::string& field, const std::function<bool(const std::string&)>& valid,
+              const std::string& accepted, const std::optional<std::string>& fallback = std::nullopt)
+        -> std::string {
+        const auto value = take(field);
+        if (value.isUndefined()) {
+            if (!fallback) {
+                fail(field, "is missing", accepted);
+            }
+            return fallback.value_or("");
+        }
+        const auto found = value.toString().toStdString();
+        if (!value.isString() || !valid(found)) {
+            fail(field, "is not valid", accepted);
+        }
+        return found;
+    }
+
+    auto one_of(const std::string& field, const std::vector<std::string>& names, const std::string& fallback)
+        -> std::string {
+        const auto among = [&](const std::string& it) {
+            return std::find(names.begin(), names.end(), it) != names.end();
+        };
+        return text(field, among, fmt::format("{}", fmt::join(names, ", ")), fallback);
+    }
+
+    auto number(const std::string& field, std::int64_t fallback, std::int64_t least, std::int64_t most)
+        -> std::int64_t {
+        const auto value = take(field);
+        if (value.isUndefined()) {
+            return fallback;
+        }
+        const auto found = value.toDouble(static_cast<double>(least) - 1);
+        if (!value.isDouble() || std::floor(found) != found || found < static_cast<double>(least) ||
+            found > static_cast<double>(most)) {
+            fail(field, "is not valid", fmt::format("a whole number from {} to {}", least, most));
+            return fallback;
+        }
+        return static_cast<std::int64_t>(found);
+    }
+
+    auto milliseconds(const std::string& field, duration fallback, std::int64_t least, std::int64_t most)
+        -> duration {
+        return std::chrono::milliseconds{number(field, fallback / 1ms, least, most)};
+    }
+
+    auto object(const std::string& field) -> object_reader {
+        const auto value = take(field);
+        if (!value.isUndefined() && !value.isObject()) {
+            fail(field, "is not valid", "a JSON object");
+        }
+        return {value.toObject(), path_of(field), errors_};
+    }
+
+    auto array(const std::string& field, bool required) -> QJsonArray {
+        const auto value = take(field);
+        if (value.isUndefined() ? required : !value.isArray()) {
+            fail(field, value.isUndefined() ? "is missing" : "is not valid", "a JSON array");
+        }
+        return value.toArray();
+    }
+
+    [[nodiscard]] auto fields() const -> std::vector<std::string> {
+        auto names = std::vector<std::string>{};
+        for (const auto& it : object_.keys()) {
+            names.push_back(it.toStdString());
+        }
+        return names;
+    }
+
+    /// Call after all known fields were taken.
+    auto refuse_unknown() -> void {
+        for (const auto& it : fields()) {
+            if (known_.count(it) == 0) {
+                fail(it, "is no known field", fmt::format("{}", fmt::join(known_, ", ")));
+            }
+        }
+    }
+
+private:
+    QJsonObject object_;
+    std::string path_;
+    std::vector<setting_error>& errors_;
+    std::set<std::string> known_;
+};
+
+auto read_tokens(object_reader& in, std::vector<setting_error>& errors) -> std::vector<admin_credential> {
+    auto credentials = std::vector<admin_credential>{};
+    auto names = std::set<std::string>{};
+    for (const auto& value : in.array("admin_tokens", true)) {
+        const auto path = fmt::format("admin_tokens[{}]", credentials.size());
+        if (!value.isObject()) {
+            errors.push_back({path, "is not valid", "{\"name\": NAME, \"sha256\": HASH}"});
+            credentials.emplace_back();
+            continue;
+        }
+        auto entry = object_reader{value.toObject(), path, errors};
+        auto it = admin_credential{};
+        it.name = entry.text("name", is_name, name_form);
+        it.token_hash = entry.text("sha256", is_hash, hash_form);
+        entry.refuse_unknown();
+        if (!it.name.empty() && !names.insert(it.name).second) {
+            entry.fail("name", "is given twice", "a name of its own for each token");
+        }
+        credentials.push_back(it);
+    }
+    return credentials;
+}
+
+auto read_limits(object_reader in) -> caller_limits {
+    auto limits = caller_limits{};
+    limits.connections = static_cast<int>(in.number("connections", limits.connections, 1, 100'000));
+    limits.body_bytes = static_cast<int>(in.number("body_bytes", limits.body_bytes, 1024, 64'000'000));
+    limits.header_bytes = static_cast<int>(in.number("header_bytes", limits.header_bytes, 1024, 1'000'000));
+    limits.idle = std::chrono::seconds{in.number("idle_seconds", limits.idle / 1s, 1, 3600)};
+    in.refuse_unknown();
+    return limits;
+}
+
+auto read_lease(object_reader in) -> lease_settings {
+    auto lease = lease_settings{};
+    lease.heartbeat_interval = in.milliseconds("heartbeat_ms", lease.heartbeat_interval, 10, 10'000);
+    lease.lease = in.milliseconds("lease_ms", lease.lease, 100, 60'000);
+    lease.drift_allowance = in.milliseconds("drift_ms", lease.lease / 10, 1, 60'000);
+    lease.store_renewal_interval =
+        in.milliseconds("store_renewal_ms", lease.store_renewal_interval, 10, 30'000);
+    lease.member_removal_delay =
+        in.milliseconds("member_removal_ms", lease.member_removal_delay, 1000, 3'600'000);
+    // Two heartbeats may be lost before authority ends.
+    if (lease.heartbeat_interval * 3 > lease.lease) {
+        in.fail("heartbeat_ms", "is too long for the lease", "at most a third of lease_ms");
+    }
+    if (lease.store_renewal_interval * 2 > lease.lease) {
+        in.fail("store_renewal_ms", "is too long for the lease", "at most half of lease_ms");
+    }
+    // A grant of the previous accountant must have expired when its successor starts.
+    if (lease.lease <= grant_life) {
+        in.fail("lease_ms", "is too short for rate grants", fmt::format("more than {} ms", grant_life / 1ms));
+    }
+    if (lease.drift_allowance * 20 < lease.lease || lease.drift_allowance > lease.lease) {
+        in.fail("drift_ms", "does not fit the lease", "from a twentieth of lease_ms to lease_ms");
+    }
+    in.refuse_unknown();
+    return lease;
+}
+
+auto read_cells(object_reader in, const cell_id& own) -> std::map<cell_id, std::vector<std::string>> {
+    auto cells = std::map<cell_id, std::vector<std::string>>{};
+    for (const auto& cell : in.fields()) {
+        if (!is_name(cell)) {
+            in.fail(cell, "is no cell name", name_form);
+        }
+        if (cell == own.value) {
+            in.fail(cell, "is this instance's own cell", "other cells");
+        }
+        auto& seeds = cells[cell_id{cell}];
+        const auto listed = in.array(cell, true);
+        for (const auto& it : listed) {
+            const auto address = it.toString().toStdString();
+            if (!is_address(address)) {
+                in.fail(fmt::format("{}[{}]", cell, seeds.size()), "is not valid", address_form);
+            }
+            seeds.push_back(address);
+        }
+        if (listed.isEmpty()) {
+            in.fail(cell, "has no address", "at least one peer address");
+        }
+    }
+    in.refuse_unknown();
+    return cells;
+}
+
+auto locate_syntax_error(const std::string& text, const QJsonParseError& error) -> setting_error {
+    const auto offset = std::min(text.size(), static_cast<std::size_t>(std::max(error.offset, 0)));
+    const auto before = std::string_view{text}.substr(0, offset);
+    const auto line = std::count(before.begin(), before.end(), '\n') + 1;
+    const auto start = before.rfind('\n');
+    const auto column = offset - (start == std::string_view::npos ? 0 : start + 1) + 1;
+    return {fmt::format("line {}, column {}", line, column), error.errorString().toStdString(),
+            "a JSON object"};
+}
+
+} // namespace
+
+auto parse_settings(const std::string& text, const policy_names& policies)
+    -> std::variant<process_settings, std::vector<setting_error>> {
+    auto syntax = QJsonParseError{};
+    const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(text), &syntax);
+    if (syntax.error != QJsonParseError::NoError) {
+        return std::vector{locate_syntax_error(text, syntax)};
+    }
+    if (!document.isObject()) {
+        return std::vector{
+            setting_error{"line 1, column 1", "the settings are no JSON object", "a JSON object"}};
+    }
+    auto errors = std::vector<setting_error>{};
+    auto in = object_reader{document.object(), "", errors};
+    auto settings = process_settings{};
+    const auto modes = std::vector<std::string>(name_table<connection_mode>::names.begin(),
+                                                name_table<connection_mode>::names.end());
+    settings.instance = instance_id{in.text("instance", is_name, name_form)};
+    settings.cell = cell_id{in.text("cell", is_name, name_form)};
+    settings.region = in.text("region", is_name, name_form);
+    settings.domain = failure_domain{in.text("failure_domain", is_name, name_form)};
+    settings.caller_address = in.text("caller_address", is_address, address_form);
+    settings.peer_address = in.text("peer_address", is_address, address_form);
+    settings.admin_address = in.text("admin_address", is_address, address_form);
+    settings.store_address = in.text("store_address", is_address, address_form);
+    settings.admin_tokens = read_tokens(in, errors);
+    settings.peer_secret = in.text(
+        "peer_secret", [](const std::string& it) { return it.size() >= least_secret_bytes; },
+        fmt::format("at least {} characters", least_secret_bytes));
+    settings.shards = static_cast<int>(in.number("shards", settings.shards, 1, 64));
+    settings.limits = read_limits(in.object("limits"));
+    settings.lease = read_lease(in.object("lease"));
+    settings.read_policy = in.one_of("read_policy", policies.read, settings.read_policy);
+    settings.queue_policy = in.one_of("queue_policy", policies.queue, settings.queue_policy);
+    settings.limit_policy = in.one_of("limit_policy", policies.limit, settings.limit_policy);
+    settings.promotion_policy = in.one_of("promotion_policy", policies.promotion, settings.promotion_policy);
+    settings.connections = value_of<connection_mode>(in.one_of("connection_mode", modes, "holder"))
+                               .value_or(connection_mode::holder);
+    settings.other_cells = read_cells(in.object("other_cells"), settings.cell);
+    in.refuse_unknown();
+    auto used = std::set<std::string>{};
+    for (const auto& [field, address] : {std::pair{"caller_address", settings.caller_address},
+                                         std::pair{"peer_address", settings.peer_address},
+                                         std::pair{"admin_address", settings.admin_address}}) {
+        if (is_address(address) && !used.insert(address).second) {
+            in.fail(field, "is used twice", "an address of its own for callers, peers and administration");
+        }
+    }
+    if (!errors.empty()) {
+        return errors;
+    }
+    return settings;
+}
+
+auto format_error(const setting_error& error) -> std::string {
+    return fmt::format("{}: {}; accepted: {}", error.path, error.message, error.accepted);
+}
+
+} // namespace citronlug
