--- a/src/citronlugd/administration.h
+++ b/src/citronlugd/administration.h
@@ -65,8 +65,11 @@
     /// Empty if this instance has authority by contact with more than half of its cell. Otherwise why it
     /// must not change the configuration.
     [[nodiscard]] virtual auto refuse_change() -> std::optional<failure> = 0;
-    /// Reads the configuration from the store. An object that does not exist yet gives
-    /// `initial_configuration()` with version 0. Fails with `store_unavailable`.
+    /// Configuration in force at this instance.
+    [[nodiscard]] virtual auto current_config() -> configuration = 0;
+    /// Reads the configuration from the store; a version newer than the one in force here is taken over. An
+    /// object that does not exist yet gives `initial_configuration()` with version 0. Fails with
+    /// `store_unavailable`.
     virtual auto read_config(callback<result<configuration>> done) -> void = 0;
     /// Conditional update at the store: replaces exactly `expected_version` and gives the new version, which
     /// is in force here before `done` is called. Fails with `conflict` if the store has another version, and
