Test member view, policies, retry budget and session tokens

An answer that refuses a promotion clears the fence only if it states a term that the order could not have produced; a lost answer keeps it.

--- a/src/include/citronlug/database_holder.h
+++ b/src/include/citronlug/database_holder.h
@@ -163,6 +163,8 @@
     /// Answer to `probe_member`; empty if the member refused or the connection failed.
     auto on_member_status(time_point now, const member_id& member, std::uint64_t sequence,
                           std::optional<member_status> status) -> void;
+    /// Result of `promote_member`. `term`: the new term, or the term in which the member refused; 0 if the
+    /// result is not known, because the order may still take effect.
     auto on_promoted(time_point now, const member_id& member, bool success, term_number term) -> void;
     /// Starts, retries, expires. Call at least each 50 ms.
     auto on_timer(time_point now) -> void;
--- a/src/libcitronlug/holder_failover.cpp
+++ b/src/libcitronlug/holder_failover.cpp
@@ -185,8 +185,8 @@
     promotion_.reset();
     if (!success) {
         event("promotion-failed", fmt::format("member={} term={}", member.value, term));
-        if (term > 0) {
-            view_.clear_fence(expected + 1, member); // it answered, so it will not take the term later
+        if (term > 0 && term <= expected) {
+            view_.clear_fence(expected + 1, member); // it refused, so it will not take the term later
         }
         probe_all(now);
         return;
--- /dev/null
+++ b/src/libcitronlug/member_view_test.cpp
@@ -0,0 +1,170 @@
+#include <citronlug/testing.h>
+
+#include <citronlug/member_view.h>
+#include <citronlug/promotion_policy.h>
+#include <citronlug/queue_policy.h>
+#include <citronlug/read_policy.h>
+#include <citronlug/session_token.h>
+
+#include "retry_budget.h"
+
+using namespace citronlug;
+using namespace citronlug::testing;
+
+namespace {
+
+const auto a = member_id{"a:1"};
+const auto b = member_id{"b:1"};
+const auto c = member_id{"c:1"};
+
+auto status(member_role role, term_number term, log_position log, std::vector<term_start> history)
+    -> member_status {
+    return {role, {term, log}, std::move(history)};
+}
+
+} // namespace
+
+/// a is primary of term 3, which began after position 50; term 2 began after position 40.
+TEST_GROUP_BASE(view_of_a_group, citronlug::testing::story) {
+    member_view view{at(0s)};
+
+    auto setup()->void override {
+        auto settings = database_settings{};
+        settings.members = {a, b, c};
+        view.set_members(settings, at(0s));
+        const auto history = std::vector<term_start>{{1, 0}, {2, 40}, {3, 50}};
+        view.on_status(at(0s), b, at(0s), status(member_role::replica, 3, 55, history));
+        view.on_status(at(0s), c, at(0s), status(member_role::primary, 2, 90, {{1, 0}, {2, 40}}));
+        view.on_status(at(0s), a, at(0s), status(member_role::primary, 3, 60, history));
+    }
+};
+
+// Guards against a superseded primary that answers first and is taken for the present one.
+TEST(view_of_a_group, the_primary_of_the_highest_term_counts) {
+    CHECK(view.primary() != nullptr && view.primary()->id == a);
+    CHECK_EQUAL(3U, view.term());
+    view.on_status(at(1s), b, at(1s),
+                   status(member_role::replica, 4, 60, {{1, 0}, {2, 40}, {3, 50}, {4, 60}}));
+    CHECK(view.primary() == nullptr);
+}
+
+// Guards against a position of an abandoned branch that is taken for present data.
+TEST(view_of_a_group, a_position_beyond_the_start_of_the_next_term_is_missing) {
+    CHECK(view.check({1, 40}) == history_check::held);
+    CHECK(view.check({1, 41}) == history_check::missing);
+    CHECK(view.check({2, 50}) == history_check::held);
+    CHECK(view.check({2, 51}) == history_check::missing);
+    CHECK(view.check({3, 60}) == history_check::held);
+    CHECK(view.check({3, 61}) == history_check::later);
+    CHECK(view.check({4, 1}) == history_check::later);
+    CHECK(!view.replica_has(*view.find(b), {3, 56}));
+    CHECK(!view.replica_has(*view.find(c), {2, 45}));
+}
+
+// Guards against an age that counts from the answer instead of the question, and against old answers.
+TEST(view_of_a_group, the_age_of_a_replica_counts_from_the_question) {
+    view.on_status(at(400ms), a, at(200ms),
+                   status(member_role::primary, 3, 70, view.primary()->status->history));
+    view.on_status(at(500ms), b, at(450ms),
+                   status(member_role::replica, 3, 69, view.primary()->status->history));
+    CHECK(view.complete_at(at(500ms), *view.find(b)) == at(0s));
+    view.on_status(at(500ms), b, at(460ms),
+                   status(member_role::replica, 3, 70, view.primary()->status->history));
+    CHECK(view.complete_at(at(500ms), *view.find(b)) == at(200ms));
+    CHECK(!view.complete_at(at(1500ms), *view.find(b)));
+    CHECK(!view.complete_at(at(500ms), *view.find(c)));
+}
+
+TEST_GROUP_BASE(holder_policies, citronlug::testing::story){};
+
+// Guards against an account that starves others by many requests or by slow ones.
+TEST(holder_policies, fair_queue_shares_service_time_between_accounts) {
+    check_property("shares of two busy accounts differ by little", [] {
+        const auto slow = *rc::gen::inRange(1, 20);
+        auto queue = plugin_registry<queue_policy>::make("fair");
+        for (std::uint64_t n = 0; n < 200; ++n) {
+            RC_ASSERT(queue->push({n * 2, account_id{"slow"}, queue_lane::write, duration{slow * 1000}}));
+            RC_ASSERT(queue->push({n * 2 + 1, account_id{"fast"}, queue_lane::fresh_read, 1ms}));
+        }
+        auto service = std::array<int, 2>{};
+        while (service[1] < 100) {
+            const auto number = queue->take([](auto) { return start_check::start; });
+            service.at(*number % 2) += *number % 2 == 0 ? slow : 1;
+        }
+        RC_ASSERT(std::abs(service[0] - service[1]) <= slow + 1);
+    });
+}
+
+// Guards against lost, invented or reordered entries.
+TEST(holder_policies, queues_keep_every_entry_and_its_order) {
+    check_property("a queue gives back what it was given", [](const std::vector<std::uint8_t>& inputs) {
+        for (const auto& name : plugin_registry<queue_policy>::names()) {
+            auto queue = plugin_registry<queue_policy>::make(name);
+            auto expected = std::map<std::pair<int, int>, std::deque<std::uint64_t>>{};
+            for (std::uint64_t n = 0; n < inputs.size(); ++n) {
+                const auto account = inputs[n] % 3;
+                const auto lane = inputs[n] / 3 % 4;
+                RC_ASSERT(queue->push({n, account_id{std::to_string(account)}, static_cast<queue_lane>(lane),
+                                       duration{inputs[n] * 100}}));
+                expected[{account, lane}].push_back(n);
+            }
+            for (std::size_t n = 0; n < inputs.size(); ++n) {
+                const auto number = queue->take([](auto) { return start_check::start; });
+                RC_ASSERT(number.has_value());
+                auto& lane = expected[{inputs[*number] % 3, inputs[*number] / 3 % 4}];
+                RC_ASSERT(lane.front() == *number);
+                lane.pop_front();
+            }
+            RC_ASSERT(queue->size() == 0U);
+        }
+    });
+}
+
+// Guards against reads on a loaded or distant replica, and on the primary while a replica would do.
+TEST(holder_policies, read_routing_prefers_idle_then_near_replicas) {
+    const auto policy = plugin_registry<read_policy>::make("evidence");
+    auto members = std::vector<read_candidate>{{a, true, true, true, true, 0, 0ms},
+                                               {b, false, true, true, false, 1, 10ms},
+                                               {c, false, true, true, true, 1, 90ms}};
+    CHECK(policy->choose(members) == 2U);
+    members[1].in_flight = 0;
+    CHECK(policy->choose(members) == 1U);
+    members[1].available = members[2].available = false;
+    CHECK(!policy->choose(members));
+    members[1].eligible = members[2].eligible = false;
+    CHECK(policy->choose(members) == 0U);
+    CHECK(plugin_registry<read_policy>::make("primary")->choose(members) == 0U);
+}
+
+// Guards against retries that multiply the load of an ailing group.
+TEST(holder_policies, retries_are_a_tenth_of_the_requests) {
+    auto budget = retry_budget{at(0s)};
+    auto taken = 0;
+    for (auto n = 0; n < 1000; ++n) {
+        budget.on_request();
+        taken += budget.take(at(0s)) ? 1 : 0;
+    }
+    CHECK(taken >= 100 && taken <= 103);
+    CHECK(budget.take(at(2s)));
+    CHECK(!budget.take(at(2500ms)));
+}
+
+TEST_GROUP_BASE(session_tokens, citronlug::testing::story){};
+
+// Guards against tokens that a caller altered, and against use by another account.
+TEST(session_tokens, open_only_unaltered_and_for_their_account) {
+    check_property(
+        "sealed tokens", [](const std::string& account, const std::string& database, std::uint32_t log) {
+            const auto token = session_token{account_id{account}, database_id{database}, {3, log}, 1000};
+            auto text = seal(token, "secret");
+            RC_ASSERT(text.find_first_of("+/=") == std::string::npos);
+            RC_ASSERT(std::get<session_token>(open_token(text, "secret", token.account, 999)) == token);
+            RC_ASSERT(!succeeded(open_token(text, "secret", token.account, 1000)));
+            RC_ASSERT(!succeeded(open_token(text, "other", token.account, 999)));
+            RC_ASSERT(!succeeded(open_token(text, "secret", account_id{account + "x"}, 999)));
+            const auto n = *rc::gen::inRange<std::size_t>(0, text.size() - 1);
+            text[n] = text[n] == 'A' ? 'B' : 'A';
+            RC_ASSERT(!succeeded(open_token(text, "secret", token.account, 999)));
+            RC_ASSERT(!succeeded(open_token(text.substr(0, n), "secret", token.account, 999)));
+        });
+}
