Probe replicas when a read falls back to the primary; serve idle accounts next

A read that found no replica now asks for fresher evidence, so that the reads after it can use one. An account that was not served within the last round goes first, so that its request waits for one slot and not for a round of accounts that always have work.

--- a/src/fair.plugin/fair.cpp
+++ b/src/fair.plugin/fair.cpp
@@ -20,8 +20,12 @@
             return false;
         }
         if (owner.size == 0) {
-            owner.deficit = duration{};
-            ring_.push_back(work.account);
+            // An account that was not served within the last round is next: its request then waits for one
+            // slot only, not for a round of accounts that always have work.
+            const auto round = work.cost * static_cast<std::int64_t>(ring_.size() + 1);
+            owner.deficit = served_ - owner.last_served >= round ? work.cost : duration{};
+            ring_.insert(ring_.begin() + static_cast<std::ptrdiff_t>(std::min(cursor_, ring_.size())),
+                         work.account);
         }
         ++owner.size;
         ++size_;
@@ -97,6 +101,7 @@
 private:
     static constexpr std::size_t bound = 256;     ///< entries per account
     static constexpr std::size_t scan_limit = 64; ///< entries looked at per lane behind one that has to wait
+    static constexpr std::size_t remembered = 4096; ///< accounts kept after their queue ran empty
     static constexpr duration quantum = 1ms;
 
     struct account_queue {
@@ -104,6 +109,7 @@
         std::size_t size = 0;
         std::size_t next_lane = 0;
         duration deficit{};
+        duration last_served = -1h; ///< value of `served_` at its last start
     };
     struct choice {
         std::size_t ring = 0;
@@ -138,6 +144,8 @@
         const auto number = it->number;
         lane.erase(it);
         owner.deficit -= picked.cost;
+        served_ += picked.cost;
+        owner.last_served = served_;
         owner.next_lane = picked.lane;
         // The next account comes first in the next round, so that a free slot does not always go to the same.
         cursor_ = picked.ring + (owner.deficit >= picked.cost ? 0 : 1);
@@ -155,7 +163,9 @@
             --cursor_;
         }
         ring_.erase(it);
-        accounts_.erase(id);
+        if (accounts_.size() > remembered) {
+            accounts_.erase(id);
+        }
     }
 
     [[nodiscard]] auto work_of(const account_id& account, queue_lane lane) const -> duration {
@@ -174,6 +184,7 @@
     std::vector<account_id> ring_; ///< accounts with queued work
     std::size_t cursor_ = 0;
     std::size_t size_ = 0;
+    duration served_{}; ///< service time started so far
 };
 
 const plugin_registration<queue_policy, fair_queue> registration{"fair"};
--- a/src/libcitronlug/holder_queue.cpp
+++ b/src/libcitronlug/holder_queue.cpp
@@ -231,18 +231,20 @@
 
 auto database_holder::implementation::check_read(time_point now, work_item& work) -> start_check {
     const auto candidates = read_candidates(now, work);
+    const auto replica = std::any_of(candidates.begin(), candidates.end(),
+                                     [](const auto& it) { return it.eligible && !it.primary; });
+    if (!replica) {
+        probe_all(now); // fresher evidence may let the next read use a replica
+    }
     if (const auto n = reads_->choose(candidates)) {
         work.target = candidates[*n].member;
         return start_check::start;
     }
     const auto eligible =
         std::any_of(candidates.begin(), candidates.end(), [](const auto& it) { return it.eligible; });
+    work.no_replica = !eligible;
     const auto capacity =
         std::any_of(candidates.begin(), candidates.end(), [](const auto& it) { return it.available; });
-    work.no_replica = !eligible;
-    if (!eligible) {
-        probe_all(now);
-    }
     return capacity ? start_check::skip : start_check::blocked;
 }
 
--- a/src/libcitronlug/holder_test_group.h
+++ b/src/libcitronlug/holder_test_group.h
@@ -155,7 +155,8 @@
     bool renew_authority = true;
     time_point authority;
     duration service = 1ms;
-    bool lose_promotions = false; ///< the order is carried out, but its answer is lost
+    std::uint32_t slow_every = 50; ///< one statement of so many takes 40 times as long; 0: none
+    bool lose_promotions = false;  ///< the order is carried out, but its answer is lost
 
 private:
     auto delay() -> duration { return duration{200 + static_cast<int>(random() % 800)}; }
@@ -272,7 +273,7 @@
             it.transaction.reset();
             return;
         }
-        later(random() % 50 == 0 ? service * 40 : service, [this, number, next] {
+        later(slow_every != 0 && random() % slow_every == 0 ? service * 40 : service, [this, number, next] {
             auto& connection = connections[number];
             if (!connection.alive || !members[connection.member].up) {
                 return;
