Keep a session's lost position when a write outlives a change of primary

A write that was in doubt over a change of primary was acknowledged with a position of the new term, which hid that earlier data of the session was lost; later reads then missed it without an error.

--- a/src/libcitronlug/database_holder_test.cpp
+++ b/src/libcitronlug/database_holder_test.cpp
@@ -243,6 +243,23 @@
     }
 }
 
+// Guards against a new position that hides the loss of the session's earlier write.
+TEST(held_database, keeps_a_lost_position_when_a_later_write_outlives_the_change) {
+    auto confirmed = write_request(deadline(), "w1");
+    confirmed.ack = ack_mode::replica;
+    CHECK(ask(confirmed).outcome == verdict::done);
+    group.members[1].lag = group.members[2].lag = 1h;
+    const auto lost = ask(write_request(deadline(), "w2"));
+    auto again = write_request(deadline(4s), "w1"); // a retry that runs into the change of primary
+    again.session = lost.reached;
+    group.members[0].cut = true;
+    const auto value = ask(again, 4s);
+    CHECK(value.outcome == verdict::done && value.replayed);
+    auto read = read_request(deadline());
+    read.session = value.reached;
+    CHECK(is(ask(read), verdict::not_run, failure_code::session_lost));
+}
+
 // Guards against a full queue that lets callers hang, and against one account that blocks another.
 TEST(held_database, refuses_early_and_keeps_accounts_apart) {
     group.service = 50ms;
@@ -415,8 +432,10 @@
 
 // Guards against the same when timers run before the waiting answers are read.
 TEST(change_of_primary, needs_silence_while_the_holder_runs) {
-    group.pause(3s);
-    for (const duration wait : {1000ms, 1500ms}) {
+    group.renew_authority = false;
+    group.holder->set_authority(group.now + 1h);
+    group.pause(5s);
+    for (const duration wait : {1000ms, 1500ms, 1500ms}) {
         group.step(wait);
         group.holder->on_timer(group.now);
         group.perform();
--- a/src/libcitronlug/holder_impl.h
+++ b/src/libcitronlug/holder_impl.h
@@ -170,6 +170,7 @@
     auto acknowledge(time_point now, work_item& work, answer value) -> void;
     [[nodiscard]] auto is_confirmed(const work_item& work) const -> bool;
     auto check_confirmations(time_point now) -> void;
+    auto probe_for_confirmation(time_point now, duration spacing) -> void;
     auto insert_request(const work_item& work) const -> statement;
 
     // holder_transactions.cpp
--- a/src/libcitronlug/holder_writes.cpp
+++ b/src/libcitronlug/holder_writes.cpp
@@ -114,26 +114,34 @@
     }
     view_.note_primary_position(work.sent, value.reached);
     work.pending = std::move(value);
-    if (work.body.ack == ack_mode::replica && !is_confirmed(work)) {
+    if (!is_confirmed(work)) {
         work.stage = work_stage::confirming;
         confirming_.insert(work.number);
-        for (const auto& it : view_.members()) {
-            if (it.id != work.target) {
-                probe_soon(now, it.id, duration{});
-            }
-        }
+        probe_for_confirmation(now, duration{});
         return;
     }
     ++counters_.writes;
-    // A later position of the session's earlier work stays valid: it is in the same history.
-    work.pending.reached = std::max(work.pending.reached, work.body.session.value_or(position{}));
+    const auto session = work.body.session.value_or(position{});
+    if (view_.check(session) == history_check::missing) {
+        // The primary changed while the write ran, and data that the session wrote earlier is lost. The
+        // session keeps its position, so that its next read reports that.
+        work.pending.reached = session;
+    } else {
+        work.pending.reached = std::max(work.pending.reached, session);
+    }
     deliver(now, work, std::move(work.pending));
 }
 
 auto database_holder::implementation::is_confirmed(const work_item& work) const -> bool {
-    return std::any_of(view_.members().begin(), view_.members().end(), [&](const auto& it) {
-        return it.id != work.target && view_.replica_has(it, work.pending.reached);
-    });
+    const auto& reached = work.pending.reached;
+    const auto session = work.body.session.value_or(position{});
+    if (session.term < reached.term && view_.check(session) == history_check::later) {
+        return false; // the history of the new term is not known yet
+    }
+    return work.body.ack == ack_mode::primary ||
+           std::any_of(view_.members().begin(), view_.members().end(), [&](const auto& it) {
+               return it.id != work.target && view_.replica_has(it, reached);
+           });
 }
 
 auto database_holder::implementation::check_confirmations(time_point now) -> void {
@@ -153,10 +161,14 @@
         acknowledge(now, *work, std::move(value));
     }
     if (waiting != duration::max()) {
-        for (const auto& it : view_.members()) {
-            if (view_.primary() != &it) {
-                probe_soon(now, it.id, waiting < fast_confirmation ? duration{} : duration{slow_spacing});
-            }
+        probe_for_confirmation(now, waiting < fast_confirmation ? duration{} : duration{slow_spacing});
+    }
+}
+
+auto database_holder::implementation::probe_for_confirmation(time_point now, duration spacing) -> void {
+    for (const auto& it : view_.members()) {
+        if (&it != view_.primary() || it.term() < view_.term()) {
+            probe_soon(now, it.id, spacing);
         }
     }
 }
