Close connections of finished transactions and of leaving members

A caller's statements may leave settings or temporary tables on the connection of an open transaction, so it is not used again. Single statements that change the state of their connection are refused. A leaving replica gets no connections and therefore no keep-alive statements.

--- a/src/libcitronlug/connection_table.cpp
+++ b/src/libcitronlug/connection_table.cpp
@@ -188,22 +188,14 @@
     }
 }
 
-auto connection_table::pin(time_point now, connection_number number, bool pin) -> void {
+auto connection_table::pin(time_point now, connection_number number) -> void {
     auto& it = connections_.at(number);
     auto& pool = pools_[it.member];
-    if (it.pinned == pin) {
-        return;
-    }
-    it.pinned = pin;
-    it.state = pin ? connection_state::pinned : connection_state::idle;
+    it.pinned = true;
+    it.state = connection_state::pinned;
     it.since = now;
-    if (pin) {
-        std::erase(pool.idle, number);
-        ++pool.pinned;
-    } else {
-        pool.idle.push_back(number);
-        --pool.pinned;
-    }
+    std::erase(pool.idle, number);
+    ++pool.pinned;
 }
 
 auto connection_table::remove(time_point now, connection_number number) -> void {
--- a/src/libcitronlug/connection_table.h
+++ b/src/libcitronlug/connection_table.h
@@ -59,8 +59,8 @@
                          std::vector<statement> statements) -> const pooled_connection&;
     /// The pipeline has its result.
     auto finish(time_point now, connection_number number) -> void;
-    /// Gives an idle connection to a transaction, or takes it back.
-    auto pin(time_point now, connection_number number, bool pin) -> void;
+    /// Gives an idle connection to a transaction, which closes it in the end.
+    auto pin(time_point now, connection_number number) -> void;
     /// Closes a connection. A slot whose statement may still run is kept for a while.
     auto close(time_point now, connection_number number) -> void;
     /// The connection has failed by itself.
--- a/src/libcitronlug/database_holder.cpp
+++ b/src/libcitronlug/database_holder.cpp
@@ -38,10 +38,20 @@
     }
     view_.set_members(settings_, now);
     pool_.set_limits(settings_.slots, settings_.connections);
-    pool_.set_wanted(settings_.members);
+    choose_connections();
     std::erase_if(probes_, [&](const auto& it) { return view_.find(it.first) == nullptr; });
 }
 
+auto database_holder::implementation::choose_connections() -> void {
+    auto wanted = std::vector<member_id>{};
+    for (const auto& it : view_.members()) {
+        if (!it.leaving || &it == view_.primary()) {
+            wanted.push_back(it.id);
+        }
+    }
+    pool_.set_wanted(std::move(wanted));
+}
+
 auto database_holder::implementation::update_settings(time_point now, database_settings settings) -> void {
     const auto before = settings_.members;
     settings_ = std::move(settings);
--- a/src/libcitronlug/holder_failover.cpp
+++ b/src/libcitronlug/holder_failover.cpp
@@ -225,6 +225,7 @@
     }
     event("primary-changed", fmt::format("old={} new={} term={}", old.value_or(member_id{}).value,
                                          id.value_or(member_id{}).value, served_term_));
+    choose_connections();
     if (old) {
         abandon_member(now, *old);
         for (const auto number : std::vector<std::uint64_t>(confirming_.begin(), confirming_.end())) {
--- a/src/libcitronlug/holder_impl.h
+++ b/src/libcitronlug/holder_impl.h
@@ -126,6 +126,8 @@
 private:
     // database_holder.cpp
     auto apply_settings(time_point now) -> void;
+    /// A leaving member gets no connections unless it is primary.
+    auto choose_connections() -> void;
     auto expire(time_point now) -> void;
     auto expire_one(time_point now, work_item& work) -> void;
     [[nodiscard]] auto has_authority(time_point now) const -> bool { return now < authority_; }
--- a/src/libcitronlug/holder_transactions.cpp
+++ b/src/libcitronlug/holder_transactions.cpp
@@ -89,7 +89,7 @@
                    "the transaction was rolled back");
             return;
         }
-        pool_.pin(now, work.connection, true);
+        pool_.pin(now, work.connection);
         value.transaction = {epoch_, next_transaction_++};
         transactions_[value.transaction.number] = {
             value.transaction, work.body.account, work.body.key, work.connection,
@@ -112,9 +112,7 @@
         return;
     case work_kind::rollback:
         transactions_.erase(number);
-        if (pool_.find(work.connection) != nullptr) {
-            pool_.pin(now, work.connection, false);
-        }
+        pool_.close(now, work.connection);
         deliver(now, work, std::move(value));
         return;
     default:
@@ -128,15 +126,15 @@
     const auto commit = std::size_t{work.body.id.empty() ? 0U : 1U};
     const auto reached =
         outcome.results.size() == commit + 2 ? read_position(outcome.results.back()) : std::nullopt;
+    // The caller's statements may have changed settings of the connection, so it is not used again.
+    pool_.close(now, work.connection);
     if (outcome.status == pipeline_status::finished && reached) {
-        pool_.pin(now, work.connection, false);
         auto value = answer{};
         value.outcome = verdict::done;
         value.reached = *reached;
         value.transaction = work.body.transaction;
         acknowledge(now, work, std::move(value));
     } else if (outcome.status == pipeline_status::finished || outcome.results.size() > commit) {
-        pool_.close(now, work.connection);
         doubtful_commits_.insert(work.body.transaction.number);
         resolve_doubt(now, work);
     } else if (commit == 1 && outcome.results.empty() && outcome.sqlstate == unique_violation) {
--- a/src/libcitronlug/statement_check.cpp
+++ b/src/libcitronlug/statement_check.cpp
@@ -11,9 +11,12 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 14> control_words{
-    "BEGIN", "COMMIT", "ROLLBACK", "SAVEPOINT", "PREPARE", "START", "END",
-    "ABORT", "SET",    "DISCARD",  "RELEASE",   "RESET",   "LOCK",  "DEALLOCATE"};
+constexpr std::array<std::string_view, 17> control_words{
+    "BEGIN", "COMMIT",  "ROLLBACK", "SAVEPOINT",  "PREPARE", "START",  "END",  "ABORT",  "SET",
+    "RESET", "DISCARD", "RELEASE",  "DEALLOCATE", "LOCK",    "LISTEN", "COPY", "DECLARE"};
+/// Change the state of the connection beyond the transaction.
+constexpr std::array<std::string_view, 5> state_words{"SET_CONFIG", "PG_ADVISORY_LOCK",
+                                                      "PG_ADVISORY_LOCK_SHARED", "TEMP", "TEMPORARY"};
 constexpr std::array<std::string_view, 4> read_words{"SELECT", "VALUES", "TABLE", "WITH"};
 constexpr std::array<std::string_view, 5> change_words{"INSERT", "UPDATE", "DELETE", "MERGE", "INTO"};
 
@@ -77,6 +80,9 @@
     if (has(control_words, words.front())) {
         return refused(fmt::format("a statement must not start with {}", words.front()));
     }
+    if (std::any_of(state_words.begin(), state_words.end(), [&](auto word) { return has(words, word); })) {
+        return refused("a statement must not change the state of its connection");
+    }
     if (has(words, ";")) {
         return refused("a request holds one statement");
     }
