--- a/src/standin/database_standin.cpp
+++ b/src/standin/database_standin.cpp
@@ -148,8 +148,10 @@
         for (const auto& it : fault["clients"].toArray()) {
             clients.insert(it.toString().toStdString());
         }
-        target.isolate(fault["clients"].toString() == "all", std::move(clients));
-        target.partition(fault["members"].toBool(false));
+        target.isolate(!fault.contains("clients"), std::move(clients));
+        if (fault["members"].toBool(false)) {
+            target.partition(true);
+        }
     } else if (kind == "heal") {
         target.heal();
     } else if (kind == "lag") {
--- a/src/standin/sql.cpp
+++ b/src/standin/sql.cpp
@@ -366,8 +366,10 @@
             if (first.kind == token_kind::word && first.text != "null" && !is_boolean(first.text)) {
                 it.base = name();
                 it.subtract = peek().text == "-";
-                if (!accept("-")) {
-                    expect("+");
+                if (!accept("-") && !accept("+")) {
+                    it.copy = true;
+                    result_.assignments.push_back(std::move(it));
+                    continue;
                 }
             }
             it.value = value();
--- a/src/standin/sql.h
+++ b/src/standin/sql.h
@@ -22,11 +22,12 @@
     sql_value literal;
 };
 
-/// `column = value`, or `column = base + value` and `column = base - value`.
+/// `column = value`, `column = base`, `column = base + value` or `column = base - value`.
 struct assignment {
     std::string column;
     std::string base; ///< empty: plain value
     bool subtract = false;
+    bool copy = false; ///< only the base
     operand value;
 };
 
--- a/src/standin/storage.cpp
+++ b/src/standin/storage.cpp
@@ -334,8 +334,8 @@
             if (!base) {
                 return unknown_column(it.base);
             }
-            if (!row[*base] || !value) {
-                result[*target] = std::nullopt;
+            if (it.copy || !row[*base] || !value) {
+                result[*target] = it.copy ? row[*base] : std::nullopt;
                 continue;
             }
             const auto left = to_integer(*row[*base]);
@@ -343,7 +343,12 @@
             if (!left || !right) {
                 return sql_error{"22P02", "invalid input syntax for type integer"};
             }
-            result[*target] = std::to_string(it.subtract ? *left - *right : *left + *right);
+            auto sum = std::int64_t{0};
+            if (it.subtract ? __builtin_sub_overflow(*left, *right, &sum)
+                            : __builtin_add_overflow(*left, *right, &sum)) {
+                return sql_error{"22003", "bigint out of range"};
+            }
+            result[*target] = std::to_string(sum);
         }
         return result;
     }
