--- a/src/standin/database_standin.h
+++ b/src/standin/database_standin.h
@@ -35,6 +35,7 @@
     [[nodiscard]] auto start() -> std::optional<std::string>;
     [[nodiscard]] auto member(std::size_t n) -> member_server& { return *members_[n]; }
     [[nodiscard]] auto group() -> replication_group& { return shared_.group; }
+    [[nodiscard]] auto received() const -> const received_text& { return shared_.received; }
     [[nodiscard]] auto control_port() const -> std::uint16_t { return control_port_; }
     /// Performs one fault request of the control API. Returns the reason of a refusal.
     [[nodiscard]] auto apply_fault(const QJsonObject& fault) -> std::optional<std::string>;
--- a/src/standin/group_test.cpp
+++ b/src/standin/group_test.cpp
@@ -12,6 +12,10 @@
     return std::get<sql_statement>(parse_sql(text));
 }
 
+auto succeeds(const std::variant<term_number, sql_error>& outcome) -> bool {
+    return std::holds_alternative<term_number>(outcome);
+}
+
 } // namespace
 
 /// A group of three members with the addresses m0, m1 and m2 and one table.
@@ -31,7 +35,8 @@
         return execute(group.member(n).data, group.member(n).locks, work, parsed(text), {});
     }
 
-    auto commit(std::size_t n, transaction & work, duration time = 0ms)->std::variant<log_position, sql_error> {
+    auto commit(std::size_t n, transaction & work, duration time = 0ms)
+        ->std::variant<log_position, sql_error> {
         const auto outcome = group.commit(at(time), n, work);
         group.member(n).locks.release_all(work.owner);
         return outcome;
@@ -78,7 +83,8 @@
     write(0, "insert into t values ('a', 1), ('b', 10)");
     write(0, "update t set v = v + 5 where k = 'b'");
     auto work = transaction{};
-    const auto rows = std::get<statement_result>(run(0, work, "select v from t order by v desc limit 1")).rows;
+    const auto rows =
+        std::get<statement_result>(run(0, work, "select v from t order by v desc limit 1")).rows;
     CHECK(rows.at(0).at(0) == "15");
     CHECK(std::get<statement_result>(run(0, work, "delete from t")).tag == "DELETE 2");
     CHECK(std::get<sql_error>(run(0, work, "select v from nowhere")).sqlstate == "42P01");
@@ -129,7 +135,7 @@
 
 // Guards against a replica that replicates from a superseded primary.
 TEST(change_of_primary, replica_refuses_entries_of_an_older_term) {
-    group.promote(1, 1);
+    CHECK(succeeds(group.promote(1, 1)));
     CHECK(!group.follow(2, "m1", 2));
     CHECK(group.follow(2, "m0", 1).has_value());
     CHECK(!group.follow(2, "m0", 3));
@@ -145,7 +151,7 @@
     group.replicate(at(0ms));
     CHECK(std::get<term_number>(group.promote(1, 1)) == 2);
     CHECK(std::holds_alternative<sql_error>(group.promote(2, 1)));
-    group.follow(2, "m1", 2);
+    CHECK(!group.follow(2, "m1", 2));
     group.replicate(at(0ms)); // knows the history, but not yet the first entry
     CHECK(std::get<sql_error>(group.promote(2, 2)).message == "the member lacks data of term 2");
 }
@@ -154,12 +160,13 @@
 TEST(change_of_primary, transaction_does_not_outlive_the_term) {
     auto work = transaction{};
     run(0, work, "insert into t values ('a', 1)");
-    group.promote(1, 1);
-    group.follow(0, "m1", 2);
+    CHECK(succeeds(group.promote(1, 1)));
+    CHECK(!group.follow(0, "m1", 2));
     CHECK(std::get<sql_error>(commit(0, work)).sqlstate == "25006");
 }
 
-// Guards against replicas that differ from their primary after any order of writes, partitions and promotions.
+// Guards against replicas that differ from their primary after any order of writes, partitions and
+// promotions.
 TEST(change_of_primary, members_agree_after_any_history) {
     citronlug::testing::check_property("convergence", [] {
         auto group = replication_group{3};
@@ -175,7 +182,8 @@
             if (step < 9) {
                 auto work = transaction{.owner = 1, .term = group.member(n).term()};
                 const auto text = "insert into t values ('" + std::to_string(keys++) + "', 1)";
-                execute(group.member(n).data, group.member(n).locks, work, parsed(text), {});
+                [[maybe_unused]] const auto done =
+                    execute(group.member(n).data, group.member(n).locks, work, parsed(text), {});
                 [[maybe_unused]] const auto outcome = group.commit(at(0ms), n, work);
                 group.member(n).locks.release_all(1);
             } else if (step < 12) {
@@ -187,7 +195,7 @@
                 primary = n;
                 for (auto other = std::size_t{0}; other < 3; ++other) {
                     if (other != n) {
-                        group.follow(other, "m" + std::to_string(n), old + 1);
+                        RC_ASSERT(!group.follow(other, "m" + std::to_string(n), old + 1));
                     }
                 }
             }
--- a/src/standin/object_store.h
+++ b/src/standin/object_store.h
@@ -23,7 +23,8 @@
 public:
     /// The present object, or its former version if `former` is set; nothing if there is none.
     [[nodiscard]] auto get(const std::string& key, bool former = false) const -> std::optional<stored_object>;
-    /// Writes if the object has the expected version (0: does not exist). Returns success and the present version.
+    /// Writes if the object has the expected version (0: does not exist). Returns success and the present
+    /// version.
     struct put_outcome {
         bool written = false;
         std::uint64_t version = 0;
--- a/src/standin/sql_test.cpp
+++ b/src/standin/sql_test.cpp
@@ -26,7 +26,8 @@
 
 // Guards against table definitions whose types or keys are mistaken for columns.
 TEST(sql_subset, table_definitions) {
-    const auto plain = parsed("CREATE TABLE IF NOT EXISTS t (a Int primary key, b varchar(20) not null, c numeric(4,2))");
+    const auto plain =
+        parsed("CREATE TABLE IF NOT EXISTS t (a Int primary key, b varchar(20) not null, c numeric(4,2))");
     CHECK(plain.ignore_existing);
     CHECK((plain.columns == std::vector<std::string>{"a", "b", "c"}));
     CHECK((plain.primary_key == std::vector<std::string>{"a"}));
@@ -35,7 +36,8 @@
 }
 
 TEST(sql_subset, rows_and_conditions) {
-    const auto insert = parsed("insert into t (a, b) values ($1, 'it''s'), (-2, null) on conflict do nothing");
+    const auto insert =
+        parsed("insert into t (a, b) values ($1, 'it''s'), (-2, null) on conflict do nothing");
     CHECK_EQUAL(2, static_cast<int>(insert.rows.size()));
     CHECK_EQUAL(1, insert.parameters);
     CHECK(insert.rows[0][1].literal == "it's");
@@ -45,7 +47,8 @@
     CHECK_EQUAL(2, static_cast<int>(select.where.size()));
     CHECK(select.order_by == "b" && select.descending && select.limit->literal == "3");
     const auto update = parsed("update t set a = a + $1, b = 'n', c = d where e = 1");
-    CHECK(update.assignments[0].base == "a" && update.assignments[1].base.empty() && update.assignments[2].copy);
+    CHECK(update.assignments[0].base == "a" && update.assignments[1].base.empty() &&
+          update.assignments[2].copy);
 }
 
 TEST(sql_subset, functions_of_the_group) {
@@ -59,8 +62,9 @@
 
 // Guards against statements that are accepted in part, which would hide a mistake in the tested program.
 TEST(sql_subset, statements_outside_of_the_subset_are_refused) {
-    for (const auto* text : {"selct 1", "select a from", "insert into t values (1", "delete t", "update t set a",
-                             "select * from t where a > 1", "select 1 select 2", "insert into t values ('x)"}) {
+    for (const auto* text :
+         {"selct 1", "select a from", "insert into t values (1", "delete t", "update t set a",
+          "select * from t where a > 1", "select 1 select 2", "insert into t values ('x)"}) {
         CHECK_TEXT(sqlstate(text) == "42601", text);
     }
 }
--- a/src/standin/store_main.cpp
+++ b/src/standin/store_main.cpp
@@ -15,8 +15,8 @@
 using namespace citronlug::standin;
 
 auto main(int argc, char** argv) -> int {
-    auto options =
-        cxxopts::Options{"citronlug-standin-store", "Test substitute for the platform's object API and instance list"};
+    auto options = cxxopts::Options{"citronlug-standin-store",
+                                    "Test substitute for the platform's object API and instance list"};
     options.add_options()("port", "port; 0: chosen by the system",
                           cxxopts::value<std::uint16_t>()->default_value("0"))(
         "writes-per-s", "object writes a second", cxxopts::value<double>()->default_value("400"))(
--- a/src/standin/store_standin.cpp
+++ b/src/standin/store_standin.cpp
@@ -30,9 +30,12 @@
 }
 
 auto to_json(const announced_instance& it) -> QJsonObject {
-    return {{"instance", text(it.instance)},         {"cell", text(it.cell)},
-            {"peer_address", text(it.peer_address)}, {"admin_address", text(it.admin_address)},
-            {"domain", text(it.domain)},             {"leaving", it.leaving}};
+    return {{"instance", text(it.instance)},
+            {"cell", text(it.cell)},
+            {"peer_address", text(it.peer_address)},
+            {"admin_address", text(it.admin_address)},
+            {"domain", text(it.domain)},
+            {"leaving", it.leaving}};
 }
 
 auto error_body(const std::string& message) -> QJsonObject {
@@ -78,7 +81,8 @@
     socket->abort();
 }
 
-auto store_standin::handle_platform(const QHttpServerRequest& request, const QString& path, call from) -> void {
+auto store_standin::handle_platform(const QHttpServerRequest& request, const QString& path, call from)
+    -> void {
     static const auto objects = QString{"/objects/"};
     if (path.startsWith(objects) && path.size() > objects.size()) {
         handle_object(request, path.mid(objects.size()).toStdString(), std::move(from));
@@ -89,7 +93,8 @@
     }
 }
 
-auto store_standin::handle_object(const QHttpServerRequest& request, const std::string& key, call from) -> void {
+auto store_standin::handle_object(const QHttpServerRequest& request, const std::string& key, call from)
+    -> void {
     const auto now = now_on_machine();
     const auto is_write = request.method() == method::Put;
     if (!is_write && request.method() != method::Get) {
@@ -147,8 +152,8 @@
         ++counters_[from.client].rejected;
         return answer(from, 429, error_body("too many calls"));
     }
-    const auto wait = std::min<duration>(std::chrono::milliseconds{query.queryItemValue("wait_ms").toUInt()},
-                                         longest_wait);
+    const auto wait =
+        std::min<duration>(std::chrono::milliseconds{query.queryItemValue("wait_ms").toUInt()}, longest_wait);
     const auto id = next_watch_++;
     watches_.emplace(id, watch{key, after, std::move(from)});
     events_.at(now_on_machine() + wait, [this, id] {
@@ -207,7 +212,9 @@
     }
     count(from, "announce");
     const auto body = QJsonDocument::fromJson(request.body()).object();
-    const auto field = [&](const char* name) { return body[QLatin1String{name}].toString().toStdString(); };
+    const auto field = [&](const char* name) {
+        return body[QLatin1String{name}].toString().toStdString();
+    };
     instances_.announce(now, {id.toStdString(), field("cell"), field("peer_address"), field("admin_address"),
                               field("domain"), body["leaving"].toBool()});
     answer(from, 200, QJsonObject{});
--- a/src/standin/wire_test.cpp
+++ b/src/standin/wire_test.cpp
@@ -59,7 +59,9 @@
 
 // Guards against reads past the end of a Bind message that was cut short.
 TEST(wire_codec, short_bind_is_refused) {
-    CHECK(!read_bind(std::string{"\0\0\0\0\0\x01\0\0\0\x09ab", 12}));
+    CHECK(!read_bind(std::string{"\0\0\0\0\0\x01\0\0\0\x09"
+                                 "ab",
+                                 12}));
     const auto whole = read_bind(std::string{"p\0s\0\0\0\0\x02\0\0\0\x02"
                                              "ab\xff\xff\xff\xff\0\0",
                                              20});
