--- a/src/standin/database_standin_test.cpp
+++ b/src/standin/database_standin_test.cpp
@@ -25,7 +25,8 @@
 public:
     explicit client(std::uint16_t port, const std::string& name = "test", bool wait = true)
         : connection_(PQconnectStart(
-              fmt::format("host=127.0.0.1 port={} dbname=d user=u application_name={}", port, name).c_str())) {
+              fmt::format("host=127.0.0.1 port={} dbname=d user=u application_name={}", port, name)
+                  .c_str())) {
         while (wait && PQstatus(connection_) != CONNECTION_OK && PQstatus(connection_) != CONNECTION_BAD) {
             const auto wanted = PQconnectPoll(connection_);
             auto it = pollfd{PQsocket(connection_),
@@ -87,7 +88,9 @@
         return outcomes;
     }
 
-    [[nodiscard]] auto in_transaction() const -> bool { return PQtransactionStatus(connection_) != PQTRANS_IDLE; }
+    [[nodiscard]] auto in_transaction() const -> bool {
+        return PQtransactionStatus(connection_) != PQTRANS_IDLE;
+    }
 
 private:
     static auto describe(PGresult* raw) -> std::string {
@@ -114,8 +117,8 @@
     settings.each.slots = 2;
     settings.each.max_connections = 5;
     settings.each.lock_wait = 100ms;
-    settings.schema = std::get<std::vector<sql_statement>>(
-        parse_schema("create table orders (id text primary key, amount int); create table notes (text text);"));
+    settings.schema = std::get<std::vector<sql_statement>>(parse_schema(
+        "create table orders (id text primary key, amount int); create table notes (text text);"));
     return settings;
 }
 
@@ -143,7 +146,9 @@
     }
 
     /// Runs a statement on a new connection.
-    auto run(std::size_t n, const std::string& text)->std::string { return client{ports.at(n)}.run(text); }
+    auto run(std::size_t n, const std::string& text)->std::string {
+        return client{ports.at(n)}.run(text);
+    }
 
     /// Waits until the statement on a new connection gives the outcome.
     auto eventually(std::size_t n, const std::string& text, const std::string& outcome)->bool {
@@ -170,7 +175,8 @@
         {"INSERT INTO orders (id, amount) VALUES ($1, $2)", {"o1", "5"}},
         {"COMMIT", {}},
         {"SELECT citronlug_position()", {}}};
-    CHECK((it.pipeline(statements) == std::vector<std::string>{"BEGIN", "INSERT 0 1", "INSERT 0 1", "COMMIT", "1"}));
+    CHECK((it.pipeline(statements) ==
+           std::vector<std::string>{"BEGIN", "INSERT 0 1", "INSERT 0 1", "COMMIT", "1"}));
     CHECK(!it.in_transaction());
     run(0, "insert into notes values ('of another connection')");
     CHECK(it.run("SELECT citronlug_position()") == "1"); // not the later commit
@@ -198,10 +204,12 @@
 
 TEST(pipelines, statements_outside_of_begin_commit_at_sync) {
     auto it = client{ports[0]};
-    const auto outcome = it.pipeline({{"insert into orders values ('a', '1')", {}}, {"insert into nowhere values ('b')", {}}});
+    const auto outcome =
+        it.pipeline({{"insert into orders values ('a', '1')", {}}, {"insert into nowhere values ('b')", {}}});
     CHECK(outcome[1] == "error 42P01");
     CHECK(it.run(count) == "0");
-    it.pipeline({{"insert into orders values ('a', '1')", {}}, {"update orders set amount = amount + $1", {"2"}}});
+    it.pipeline(
+        {{"insert into orders values ('a', '1')", {}}, {"update orders set amount = amount + $1", {"2"}}});
     CHECK(run(0, "select amount from orders where id = 'a'") == "3");
 }
 
@@ -358,8 +366,8 @@
                 found.push_back(std::move(text));
             }
         }
-        const auto wanted = std::vector<std::string>{"application_name=named-app", "insert into orders values ($1, 4)",
-                                                     "ck_1_secret"};
+        const auto wanted = std::vector<std::string>{"application_name=named-app",
+                                                     "insert into orders values ($1, 4)", "ck_1_secret"};
         CHECK(found == wanted);
         CHECK_EQUAL(1, group.standin().received().key_like());
     });
