Add cell node with leases, takeover and table changes

The daemon needs the component before its tests are complete: one instance creates the record and holds all roles, others join with confirmation, share roles and take over from a silent holder.

--- a/src/include/citronlug/cell_record.h
+++ b/src/include/citronlug/cell_record.h
@@ -17,7 +17,8 @@
     std::string peer_address;  ///< "host:port" of the peer RPC
     std::string admin_address; ///< "host:port" of the administration API
     failure_domain domain;
-    std::uint64_t renewals = 0; ///< raised by each lease renewal at the store
+    std::uint64_t renewals = 0; ///< raised by each write of this member, so by each renewal of its lease
+    bool leaving = false;       ///< announced by the member; it gets no more roles until it starts again
 
     auto operator==(const cell_member&) const -> bool = default;
 };
--- /dev/null
+++ b/src/libcitronlug/cell_authority.cpp
@@ -0,0 +1,170 @@
+#include "cell_node_impl.h"
+
+#include <algorithm>
+
+namespace citronlug {
+
+namespace {
+
+/// Heartbeat calls remembered; answers to older ones are too old to count.
+constexpr std::size_t remembered_heartbeats = 16;
+
+} // namespace
+
+/// Silence that proves expiry on any other clock. Two clocks that are off by 5% in opposite directions differ by
+/// 10.5%, so a lease and its tenth are not quite enough; a tenth of the allowance more covers the rest.
+auto cell_node::implementation::silence() const -> duration {
+    return settings_.lease + settings_.drift_allowance + settings_.drift_allowance / 10;
+}
+
+/// End of the authority that contact with more than half of the table gives. A table of one has its majority
+/// in itself; it is counted from the last event, so that a pause ends this authority too.
+auto cell_node::implementation::contact_until() const -> time_point {
+    if (me() == nullptr) {
+        return time_point{};
+    }
+    const auto needed = majority() - 1;
+    if (needed == 0) {
+        return now_ + settings_.lease;
+    }
+    auto times = std::vector<time_point>{};
+    for (const auto& [id, member] : record_.members) {
+        const auto it = contacts_.find(id);
+        if (it != contacts_.end() && id != self_.instance.value) {
+            times.push_back(it->second);
+        }
+    }
+    if (times.size() < needed) {
+        return time_point{};
+    }
+    std::sort(times.begin(), times.end(), std::greater<>{});
+    return times[needed - 1] + settings_.lease;
+}
+
+auto cell_node::implementation::authority_until() const -> time_point {
+    return active_ ? std::max({store_until_, carried_until_, contact_until()}) : time_point{};
+}
+
+auto cell_node::implementation::has_majority(time_point now) const -> bool {
+    return contact_until() > now;
+}
+
+/// Runs before each event, so that expired authority is lost before the event could extend it.
+auto cell_node::implementation::begin_event(time_point now) -> void {
+    if (active_ && now >= authority_until()) {
+        active_ = false;
+        emit_event("authority-lost", self_.instance.value);
+        while (!held_.empty()) {
+            stop_role(held_.begin()->first);
+        }
+        next_store_ = std::min(next_store_, now);
+    }
+    now_ = std::max(now_, now);
+}
+
+auto cell_node::implementation::stop_role(const role_id& role) -> void {
+    if (const auto it = held_.find(role); it != held_.end()) {
+        actions_.emplace_back(role_lost{role, it->second});
+        held_.erase(it);
+    }
+}
+
+/// An instance answers and promises only when no promise of a former incarnation of its slot can be in force.
+auto cell_node::implementation::may_answer(time_point now) const -> bool {
+    return me() != nullptr && now - started_ >= silence();
+}
+
+auto cell_node::implementation::send_heartbeats(time_point now) -> void {
+    next_heartbeat_ = now + settings_.heartbeat_interval;
+    if (me() == nullptr) {
+        return;
+    }
+    const auto call = ++last_call_;
+    heartbeats_.emplace(call, now);
+    if (heartbeats_.size() > remembered_heartbeats) {
+        heartbeats_.erase(heartbeats_.begin());
+    }
+    // Without authority no contact is asked for (table version 0): answers could keep nothing alive, but they
+    // would keep the peers from taking over the roles.
+    const auto message = heartbeat_message{
+        self_.instance,  self_.run, active_ ? record_.table_version : 0, record_.version, config_version_, call};
+    for (const auto& [id, member] : record_.members) {
+        if (id != self_.instance.value) {
+            send(member.instance, message);
+        }
+    }
+}
+
+auto cell_node::implementation::on_message(time_point now, const heartbeat_message& message) -> void {
+    learn(now, message.from, message.record_version, message.config_version);
+    const auto member = record_.members.find(message.from.value);
+    const auto known = member != record_.members.end() && member->second.run == message.run;
+    if (known && message.table_version != 0) {
+        auto& heard = heard_[message.from.value];
+        if (heard.run != message.run || now - heard.at > settings_.lease) {
+            heard.since = now;
+        }
+        heard.run = message.run;
+        heard.at = now;
+    }
+    const auto promise = promised_.find(message.run);
+    const auto promised = promise != promised_.end() && now < promise->second;
+    const auto accepted =
+        known && may_answer(now) && message.table_version == record_.table_version && !promised;
+    if (accepted) {
+        answered_[message.run] = now;
+    }
+    send(message.from, heartbeat_answer{self_.instance, self_.run, record_.table_version, record_.version,
+                                        config_version_, message.call, accepted});
+}
+
+auto cell_node::implementation::on_message(time_point now, const heartbeat_answer& message) -> void {
+    learn(now, message.from, message.record_version, message.config_version);
+    const auto member = record_.members.find(message.from.value);
+    const auto sent = heartbeats_.find(message.call);
+    if (!message.accepted || sent == heartbeats_.end() || member == record_.members.end() ||
+        member->second.run != message.run) {
+        return;
+    }
+    auto& contact = contacts_[message.from.value];
+    contact = std::max(contact, sent->second);
+}
+
+/// Fetches a newer record from the peer that has it; from the store if the peer is not in the table.
+auto cell_node::implementation::learn(time_point now, const instance_id& from, std::uint64_t record_version,
+                                      std::uint64_t config_version) -> void {
+    heard_config_ = std::max(heard_config_, config_version);
+    if (record_version <= record_.version) {
+        return;
+    }
+    if (!record_.members.contains(from.value)) {
+        read_wanted_ = true;
+    } else if (now - record_asked_ >= settings_.heartbeat_interval / 4) {
+        record_asked_ = now;
+        send(from, record_request{self_.instance, ++last_call_});
+    }
+}
+
+auto cell_node::implementation::live_members(time_point now) const -> std::vector<cell_member> {
+    auto found = std::vector<cell_member>{};
+    for (const auto& [id, member] : record_.members) {
+        if (is_live(now, id)) {
+            found.push_back(member);
+        }
+    }
+    return found;
+}
+
+auto cell_node::implementation::is_live(time_point now, const std::string& id) const -> bool {
+    const auto member = record_.members.find(id);
+    if (member == record_.members.end()) {
+        return false;
+    }
+    if (id == self_.instance.value) {
+        return member->second.run == self_.run;
+    }
+    const auto it = heard_.find(id);
+    return it != heard_.end() && it->second.run == member->second.run && now - it->second.at <= settings_.lease;
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/cell_promises.cpp
@@ -0,0 +1,176 @@
+#include "cell_node_impl.h"
+
+#include <algorithm>
+
+namespace citronlug {
+
+namespace {
+
+/// Time between two rounds of questions for the same takeover.
+constexpr duration promise_interval = 200ms;
+/// Head start of each candidate over the next, longer than a round of promises and a store write.
+constexpr duration candidate_delay = 600ms;
+
+} // namespace
+
+/// Step 1 of a takeover. A later incarnation in the slot proves as well that the earlier one renews no more.
+auto cell_node::implementation::counter_unchanged(time_point now, const instance_id& subject,
+                                                  incarnation run) const -> bool {
+    const auto it = observed_.find(subject.value);
+    if (it == observed_.end()) {
+        return false;
+    }
+    const auto since = it->second.run == run ? it->second.renewals_since : it->second.run_since;
+    return now - since >= silence();
+}
+
+/// Gives the promise of step 2 if it is true now. A peer must have held this table version for the whole
+/// silence, because before it may have answered under an older table whose majorities need not intersect.
+auto cell_node::implementation::promise(time_point now, const promise_request& message) -> bool {
+    const auto requester = record_.members.find(message.from.value);
+    const auto answered = answered_.find(message.subject_run);
+    if (!may_answer(now) || message.table_version != record_.table_version ||
+        now - table_since_ < silence() || requester == record_.members.end() ||
+        requester->second.run != message.run || message.subject_run == self_.run ||
+        (answered != answered_.end() && now - answered->second < silence())) {
+        return false;
+    }
+    promised_[message.subject_run] = now + silence();
+    return true;
+}
+
+auto cell_node::implementation::on_message(time_point now, const promise_request& message) -> void {
+    send(message.from, promise_answer{self_.instance, message.call, promise(now, message)});
+}
+
+auto cell_node::implementation::on_message(time_point now, const promise_answer& message) -> void {
+    for (auto& [run, attempt] : takeovers_) {
+        const auto it = attempt.asked.find(message.call);
+        if (it != attempt.asked.end() && message.granted) {
+            auto& granted = attempt.granted[message.from.value];
+            granted = std::max(granted, it->second);
+            count_promises(now, run, attempt);
+            drive_store(now);
+            return;
+        }
+    }
+}
+
+/// Position of this instance among the candidates for the roles of `run`: the named standby first.
+auto cell_node::implementation::takeover_rank(time_point now, const instance_id& subject,
+                                              incarnation run) const -> int {
+    auto standby = std::string{};
+    for (const auto& [role, entry] : record_.roles) {
+        if (entry.run == run && is_live(now, entry.standby.value)) {
+            standby = entry.standby.value;
+            break;
+        }
+    }
+    if (standby == self_.instance.value) {
+        return 0;
+    }
+    auto rank = standby.empty() ? 0 : 1;
+    const auto own_weight = rendezvous_weight(subject.value, self_.instance.value);
+    for (const auto& it : candidates(now)) {
+        const auto& id = it.instance.value;
+        if (id != self_.instance.value && id != standby && id != subject.value &&
+            rendezvous_weight(subject.value, id) > own_weight) {
+            ++rank;
+        }
+    }
+    return rank;
+}
+
+/// Looks for holders that are silent and collects promises against them.
+auto cell_node::implementation::watch_holders(time_point now) -> void {
+    auto holders = std::map<incarnation, instance_id>{};
+    for (const auto& [role, entry] : record_.roles) {
+        if (!entry.holder.empty() && entry.run != self_.run) {
+            holders.emplace(entry.run, entry.holder);
+        }
+    }
+    std::erase_if(takeovers_, [&](const auto& it) { return !holders.contains(it.first); });
+    std::erase_if(answered_, [&](const auto& it) { return now - it.second > 2 * silence(); });
+    std::erase_if(promised_, [&](const auto& it) { return now > it.second; });
+    if (!may_answer(now) || leaving_) {
+        return;
+    }
+    for (const auto& [run, subject] : holders) {
+        const auto answered = answered_.find(run);
+        const auto heard = heard_.find(subject.value);
+        // Recent heartbeats mean that the holder is back: promises would only keep its authority from lasting.
+        const auto silent = (answered == answered_.end() || now - answered->second >= silence()) &&
+                            (heard == heard_.end() || heard->second.run != run ||
+                             now - heard->second.at >= settings_.lease);
+        if (!silent || !counter_unchanged(now, subject, run)) {
+            takeovers_.erase(run);
+            continue;
+        }
+        auto& attempt = takeovers_[run];
+        if (attempt.subject.empty()) {
+            attempt.subject = subject;
+            attempt.eligible_since = now;
+        }
+        if (!attempt.fenced &&
+            now - attempt.eligible_since >= takeover_rank(now, subject, run) * candidate_delay) {
+            ask_promises(now, run, attempt);
+        }
+    }
+}
+
+auto cell_node::implementation::ask_promises(time_point now, incarnation run, takeover& attempt) -> void {
+    // Without the store a takeover cannot end, and its promises would only endanger a holder that is alive.
+    if (now - last_store_ok_ >= settings_.lease / 2) {
+        read_wanted_ = true;
+        return;
+    }
+    if (now - attempt.last_asked < promise_interval) {
+        return;
+    }
+    if (attempt.table_version != record_.table_version) {
+        attempt.table_version = record_.table_version;
+        attempt.asked.clear();
+        attempt.granted.clear();
+    }
+    attempt.last_asked = now;
+    const auto call = ++last_call_;
+    std::erase_if(attempt.asked, [&](const auto& it) { return now - it.second > settings_.lease; });
+    attempt.asked.emplace(call, now);
+    const auto request = promise_request{self_.instance,  self_.run,       record_.table_version, call,
+                                         attempt.subject, run};
+    if (promise(now, request)) {
+        attempt.granted[self_.instance.value] = now;
+    }
+    for (const auto& [id, member] : record_.members) {
+        if (id != self_.instance.value && id != attempt.subject.value) {
+            send(member.instance, request);
+        }
+    }
+    count_promises(now, run, attempt);
+}
+
+/// Step 2 is complete when promises of more than half of the table are in force at this moment. The slot of the
+/// subject has no vote in tables of three and more: the earlier incarnation counts it for itself.
+auto cell_node::implementation::count_promises(time_point now, incarnation run, takeover& attempt) -> void {
+    if (attempt.fenced || attempt.table_version != record_.table_version ||
+        !counter_unchanged(now, attempt.subject, run)) {
+        return;
+    }
+    const auto own_slot_votes = record_.members.size() < 3;
+    auto votes = std::size_t{0};
+    for (const auto& [id, requested] : attempt.granted) {
+        const auto in_force = now - requested <= settings_.lease;
+        if (in_force && record_.members.contains(id) && (own_slot_votes || id != attempt.subject.value)) {
+            ++votes;
+        }
+    }
+    if (votes < majority()) {
+        return;
+    }
+    attempt.fenced = true;
+    const auto slot = record_.members.find(attempt.subject.value);
+    attempt.fenced_renewals =
+        slot != record_.members.end() && slot->second.run == run ? slot->second.renewals : 0;
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/cell_roles.cpp
@@ -0,0 +1,259 @@
+#include "cell_node_impl.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace citronlug {
+
+namespace {
+
+/// Pause after any change of roles before a role is moved for balance, so that restarts cause few moves.
+constexpr duration rebalance_pause = 2s;
+/// Time that a member must have been heard without a gap before it gets roles for balance.
+constexpr duration settled = 5s;
+/// Time for which a vacant role is left to its designated member before the next may take it.
+constexpr duration vacancy_delay = 1s;
+/// Time after joining in which the heartbeats of the other members arrive.
+constexpr duration acquaintance = 1s;
+
+/// Roles that each member holds, per kind.
+class load_table {
+public:
+    explicit load_table(const cell_record& record) {
+        for (const auto& [role, entry] : record.roles) {
+            add(role.kind, entry.holder.value);
+        }
+    }
+    auto add(role_kind kind, const std::string& id) -> void {
+        ++of_kind_[{kind, id}];
+        ++total_[id];
+    }
+    [[nodiscard]] auto of(role_kind kind, const std::string& id) const -> int {
+        const auto it = of_kind_.find({kind, id});
+        return it == of_kind_.end() ? 0 : it->second;
+    }
+    /// Candidate with the fewest roles; equals are decided by their weight for the role.
+    [[nodiscard]] auto least(const role_id& role, const std::vector<cell_member>& among) const
+        -> const cell_member* {
+        const auto key = [&](const cell_member& it) {
+            const auto total = total_.find(it.instance.value);
+            return std::tuple{of(role.kind, it.instance.value), total == total_.end() ? 0 : total->second,
+                              ~rendezvous_weight(role.name, it.instance.value)};
+        };
+        const auto it = std::min_element(among.begin(), among.end(),
+                                         [&](const auto& a, const auto& b) { return key(a) < key(b); });
+        return it == among.end() ? nullptr : &*it;
+    }
+
+private:
+    std::map<std::pair<role_kind, std::string>, int> of_kind_;
+    std::map<std::string, int> total_;
+};
+
+} // namespace
+
+auto rendezvous_weight(const std::string& subject, const std::string& candidate) -> std::uint64_t {
+    // FNV-1a: std::hash may differ between builds, and all instances must agree.
+    auto hash = std::uint64_t{14695981039346656037U};
+    for (const auto part : {&subject, &candidate}) {
+        for (const auto it : *part) {
+            hash = (hash ^ static_cast<unsigned char>(it)) * 1099511628211U;
+        }
+        hash = (hash ^ 0xffU) * 1099511628211U;
+    }
+    return hash ^ (hash >> 29U);
+}
+
+/// Live members that may get roles.
+auto cell_node::implementation::candidates(time_point now) const -> std::vector<cell_member> {
+    auto found = std::vector<cell_member>{};
+    for (const auto& it : live_members(now)) {
+        const auto listed = list_.find(it.instance.value);
+        const auto leaving = it.leaving || (listed != list_.end() && listed->second.leaving);
+        if (!leaving && !(leaving_ && it.instance == self_.instance)) {
+            found.push_back(it);
+        }
+    }
+    if (me() == nullptr && !leaving_) {
+        found.push_back(self_);
+    }
+    return found;
+}
+
+/// Standby of a holder, in another failure domain if there is one. All roles of a holder get the same standby,
+/// so that one write moves them.
+auto cell_node::implementation::standby_for(const cell_member& holder, time_point now) const -> instance_id {
+    auto best = instance_id{};
+    auto best_key = std::pair{false, std::uint64_t{0}};
+    for (const auto& it : candidates(now)) {
+        const auto key = std::pair{it.domain != holder.domain,
+                                   rendezvous_weight(holder.instance.value, it.instance.value)};
+        if (it.instance != holder.instance && (best.empty() || key > best_key)) {
+            best = it.instance;
+            best_key = key;
+        }
+    }
+    return best;
+}
+
+auto cell_node::implementation::assign(cell_record& next, const role_id& role, const cell_member& to,
+                                       time_point now) const -> void {
+    auto& entry = next.roles[role];
+    entry = role_entry{to.instance, to.run, entry.epoch + 1, standby_for(to, now)};
+}
+
+auto cell_node::implementation::take(cell_record& next, const role_id& role, time_point now) const -> void {
+    assign(next, role, self_, now);
+}
+
+auto cell_node::implementation::plan_roles(time_point now, cell_record& next) -> bool {
+    auto changed = plan_own_roles(now, next);
+    if (leaving_) {
+        return changed;
+    }
+    for (const auto& [role, entry] : record_.roles) {
+        const auto it = takeovers_.find(entry.run);
+        if (it != takeovers_.end() && it->second.fenced && entry.holder == it->second.subject) {
+            take(next, role, now);
+            changed = true;
+        }
+    }
+    changed = plan_vacant_roles(now, next) || changed;
+    return plan_standbys(now, next) || changed;
+}
+
+auto cell_node::implementation::plan_own_roles(time_point now, cell_record& next) -> bool {
+    auto others = candidates(now);
+    std::erase_if(others, [&](const auto& it) { return it.instance == self_.instance; });
+    auto load = load_table{record_};
+    auto changed = false;
+    for (const auto& [role, entry] : record_.roles) {
+        if (!mine(entry)) {
+            continue;
+        }
+        const auto moving = moving_.find(role);
+        const auto in_rules = !roles_ || std::binary_search(roles_->begin(), roles_->end(), role);
+        const cell_member* to = nullptr;
+        if (leaving_) {
+            // The standby of a database has its connections open already.
+            const auto standby = std::find_if(others.begin(), others.end(),
+                                              [&](const auto& it) { return it.instance == entry.standby; });
+            to = role.kind == role_kind::database && standby != others.end() ? &*standby : load.least(role, others);
+        } else if (moving != moving_.end()) {
+            const auto target = std::find_if(others.begin(), others.end(),
+                                             [&](const auto& it) { return it.instance == moving->second; });
+            to = target != others.end() ? &*target : nullptr;
+        }
+        if (to != nullptr && in_rules) {
+            assign(next, role, *to, now);
+            load.add(role.kind, to->instance.value);
+        } else if (leaving_ || !in_rules) {
+            // Released: the entry stays for its epoch.
+            next.roles[role] = role_entry{{}, 0, entry.epoch, {}};
+        } else if (!held_.contains(role)) {
+            take(next, role, now);
+        } else {
+            continue;
+        }
+        changed = true;
+    }
+    return changed;
+}
+
+/// Roles of the rules without a holder. All members compute the same distribution; a role that its designated
+/// member does not take is left to the next one after a delay.
+auto cell_node::implementation::plan_vacant_roles(time_point now, cell_record& next) -> bool {
+    auto vacant = std::vector<role_id>{};
+    for (const auto& role : roles_.value_or(std::vector<role_id>{})) {
+        const auto it = record_.roles.find(role);
+        if (it == record_.roles.end() || it->second.holder.empty()) {
+            vacant.push_back(role);
+            vacant_since_.emplace(role, now);
+        }
+    }
+    std::erase_if(vacant_since_, [&](const auto& it) {
+        return !std::binary_search(vacant.begin(), vacant.end(), it.first);
+    });
+    const auto alone = next.members.size() == 1;
+    if (!alone && (me() == nullptr || now - member_since_ < acquaintance)) {
+        return false;
+    }
+    const auto among = candidates(now);
+    auto load = load_table{record_};
+    auto changed = false;
+    for (const auto& role : vacant) {
+        const auto* designated = load.least(role, among);
+        if (designated == nullptr) {
+            return changed;
+        }
+        load.add(role.kind, designated->instance.value);
+        const auto own_weight = rendezvous_weight(role.name, self_.instance.value);
+        const auto rank = std::count_if(among.begin(), among.end(), [&](const auto& it) {
+            return rendezvous_weight(role.name, it.instance.value) > own_weight;
+        });
+        const auto overdue = now - vacant_since_.at(role) >= (rank + 1) * vacancy_delay;
+        if (designated->instance == self_.instance || overdue) {
+            take(next, role, now);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+/// Names another standby where the present one is silent or in the holder's failure domain without need.
+auto cell_node::implementation::plan_standbys(time_point now, cell_record& next) -> bool {
+    if (!active_ || now - last_renewal_ < rebalance_pause || now - roles_changed_ < rebalance_pause) {
+        return false;
+    }
+    const auto better = standby_for(self_, now);
+    const auto better_member = record_.members.find(better.value);
+    if (better_member == record_.members.end()) {
+        return false;
+    }
+    auto changed = false;
+    for (const auto& [role, epoch] : held_) {
+        auto& entry = next.roles[role];
+        const auto present = record_.members.find(entry.standby.value);
+        const auto apart = better_member->second.domain != self_.domain;
+        const auto good = present != record_.members.end() && !present->second.leaving &&
+                          entry.standby != self_.instance && is_live(now, entry.standby.value) &&
+                          (!apart || present->second.domain != self_.domain);
+        if (!good && mine(entry) && entry.epoch == epoch) {
+            entry.standby = better;
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+/// Gives one role to the member with the fewest if this instance has the most and the difference is two or more.
+auto cell_node::implementation::consider_rebalance(time_point now) -> void {
+    std::erase_if(moving_, [&](const auto& it) { return !is_live(now, it.second.value); });
+    if (!active_ || leaving_ || !moving_.empty() || now - roles_changed_ < rebalance_pause ||
+        !may_answer(now)) {
+        return;
+    }
+    auto among = candidates(now);
+    std::erase_if(among, [&](const auto& it) {
+        const auto heard = heard_.find(it.instance.value);
+        return it.instance == self_.instance || heard == heard_.end() || now - heard->second.since < settled;
+    });
+    const auto load = load_table{record_};
+    for (const auto kind : {role_kind::database, role_kind::account}) {
+        const auto own = load.of(kind, self_.instance.value);
+        const auto has_most =
+            std::all_of(record_.members.begin(), record_.members.end(), [&](const auto& it) {
+                const auto other = load.of(kind, it.first);
+                return other < own || (other == own && it.first >= self_.instance.value);
+            });
+        const auto role = std::find_if(held_.begin(), held_.end(),
+                                       [&](const auto& it) { return it.first.kind == kind; });
+        const auto* to = role == held_.end() ? nullptr : load.least(role->first, among);
+        if (has_most && to != nullptr && own >= load.of(kind, to->instance.value) + 2) {
+            moving_.emplace(role->first, to->instance);
+            return;
+        }
+    }
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/cell_store.cpp
@@ -0,0 +1,236 @@
+#include "cell_node_impl.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace citronlug {
+
+namespace {
+
+/// A store call without any reply for this long counts as unavailable.
+constexpr duration store_timeout = 5s;
+/// Time between two attempts while the store does not answer.
+constexpr duration store_retry = 500ms;
+
+} // namespace
+
+auto cell_node::implementation::renewal_due(time_point now) const -> bool {
+    return !active_ || (!has_majority(now) && now - last_renewal_ >= settings_.store_renewal_interval);
+}
+
+/// Each write is preceded by a read: the record known may be old, and after a lost answer the read tells
+/// what became of the write.
+auto cell_node::implementation::drive_store(time_point now) -> void {
+    if (phase_ != store_phase::idle && now - store_asked_ >= store_timeout) {
+        on_store_reply(now, store_call_, store_reply{});
+        return;
+    }
+    if (superseded_ || phase_ != store_phase::idle || now < next_store_) {
+        return;
+    }
+    if (read_wanted_ || plan(now).has_value()) {
+        read_store(now);
+    }
+}
+
+auto cell_node::implementation::read_store(time_point now) -> void {
+    phase_ = store_phase::reading;
+    store_call_ = ++last_call_;
+    store_asked_ = now;
+    actions_.emplace_back(store_get{store_call_, "cells/" + cell_.value});
+}
+
+auto cell_node::implementation::write_store(time_point now, cell_record next) -> void {
+    // A role that the write gives away is not acted on from here, whatever becomes of the write.
+    for (const auto& [role, entry] : record_.roles) {
+        const auto it = next.roles.find(role);
+        if (it == next.roles.end() || it->second.epoch != entry.epoch || !mine(it->second)) {
+            stop_role(role);
+        }
+    }
+    phase_ = store_phase::writing;
+    store_call_ = ++last_call_;
+    store_asked_ = now;
+    last_renewal_ = now;
+    actions_.emplace_back(store_put{store_call_, "cells/" + cell_.value, to_json(next), record_.version});
+    written_ = std::move(next);
+}
+
+auto cell_node::implementation::on_store_reply(time_point now, std::uint64_t call, store_reply reply) -> void {
+    begin_event(now);
+    if (phase_ == store_phase::idle || call != store_call_) {
+        return;
+    }
+    const auto phase = std::exchange(phase_, store_phase::idle);
+    if (reply.status == store_status::unavailable) {
+        // The effect of a write is not known. The next step is a read in any case, and authority comes only
+        // from a write that was answered.
+        read_wanted_ = true;
+        next_store_ = now + store_retry / 2 + duration{random_() % static_cast<std::uint64_t>(store_retry.count())};
+        return;
+    }
+    last_store_ok_ = now;
+    if (phase == store_phase::reading) {
+        on_read(now, std::move(reply));
+    } else {
+        on_written(now, reply);
+    }
+}
+
+auto cell_node::implementation::on_read(time_point now, store_reply reply) -> void {
+    read_wanted_ = false;
+    if (reply.status == store_status::ok) {
+        auto parsed = parse_cell_record(reply.value, reply.version);
+        if (!succeeded(parsed)) {
+            emit_event("record-malformed", std::get<failure>(parsed).message);
+            next_store_ = now + store_retry;
+            return;
+        }
+        adopt(now, std::get<cell_record>(std::move(parsed)));
+    }
+    if (superseded_) {
+        return;
+    }
+    watch_holders(now);
+    ask_confirmation(now);
+    if (auto next = plan(now)) {
+        write_store(now, *std::move(next));
+    }
+}
+
+auto cell_node::implementation::on_written(time_point now, const store_reply& reply) -> void {
+    if (reply.status != store_status::ok) {
+        // The first conflict is followed by a read at once, further ones by a pause of random length.
+        read_wanted_ = true;
+        ++conflicts_;
+        next_store_ = conflicts_ == 1 ? now : now + duration{random_() % 150'000};
+        drive_store(now);
+        return;
+    }
+    conflicts_ = 0;
+    if (superseded_) {
+        return;
+    }
+    const auto before = record_;
+    written_.version = reply.version;
+    adopt(now, written_);
+    if (now < store_asked_ + settings_.lease) {
+        store_until_ = store_asked_ + settings_.lease;
+        if (!active_) {
+            active_ = true;
+            emit_event("authority-gained", self_.instance.value);
+        }
+        // Only an epoch that this write created is gained; one whose authority expired in between is not.
+        for (const auto& [role, entry] : written_.roles) {
+            const auto old = before.roles.find(role);
+            const auto created = old == before.roles.end() || old->second.epoch != entry.epoch;
+            if (created && mine(entry) && record_.version == written_.version && !leaving_) {
+                held_[role] = entry.epoch;
+                actions_.emplace_back(role_gained{role, entry.epoch});
+                if (old != before.roles.end() && !old->second.holder.empty() && !mine(old->second)) {
+                    emit_event("takeover", fmt::format("{} from {}", role.name, old->second.holder.value));
+                }
+            }
+        }
+    }
+    if (written_.table_version != before.table_version || written_.roles != before.roles ||
+        written_.members.size() != before.members.size()) {
+        send_heartbeats(now); // the others learn the new version at once
+    }
+    drive_store(now);
+}
+
+/// Takes over a record that is newer than the known one.
+auto cell_node::implementation::adopt(time_point now, cell_record record) -> void {
+    if (record.version <= record_.version) {
+        return;
+    }
+    const auto until = contact_until();
+    const auto table_changed = record.table_version != record_.table_version || record_.version == 0;
+    if (record.roles != record_.roles) {
+        roles_changed_ = now;
+    }
+    record_ = std::move(record);
+    if (table_changed) {
+        // Contact under the old table still proves authority for its time: majorities of neighbouring tables
+        // intersect, and promises are given only by members that have held their table for the silence.
+        carried_until_ = std::max(carried_until_, until);
+        table_since_ = now;
+    }
+    observe(now);
+    const auto slot = record_.members.find(self_.instance.value);
+    if (me() != nullptr) {
+        if (!was_member_) {
+            member_since_ = now;
+        }
+        was_member_ = true;
+    } else if (was_member_ && slot != record_.members.end()) {
+        superseded_ = true;
+        active_ = false;
+        emit_event("superseded", self_.instance.value);
+    }
+    for (auto it = held_.begin(); it != held_.end();) {
+        const auto role = (it++)->first;
+        const auto entry = record_.roles.find(role);
+        if (superseded_ || entry == record_.roles.end() || !mine(entry->second) ||
+            entry->second.epoch != held_.at(role)) {
+            stop_role(role);
+        }
+    }
+    std::erase_if(moving_, [&](const auto& it) {
+        const auto entry = record_.roles.find(it.first);
+        return entry == record_.roles.end() || !mine(entry->second);
+    });
+}
+
+auto cell_node::implementation::observe(time_point now) -> void {
+    for (const auto& [id, member] : record_.members) {
+        auto& slot = observed_[id];
+        if (slot.run != member.run) {
+            slot = observed_slot{member.run, now, member.renewals, now};
+        } else if (slot.renewals != member.renewals) {
+            slot.renewals = member.renewals;
+            slot.renewals_since = now;
+        }
+    }
+    std::erase_if(observed_, [&](const auto& it) { return !record_.members.contains(it.first); });
+    for (auto& [run, attempt] : takeovers_) {
+        const auto slot = record_.members.find(attempt.subject.value);
+        const auto renewals =
+            slot != record_.members.end() && slot->second.run == run ? slot->second.renewals : 0;
+        if (attempt.table_version != record_.table_version || renewals != attempt.fenced_renewals) {
+            attempt.fenced = false;
+        }
+    }
+}
+
+/// The record that this instance wants to write in place of the known one, if any.
+auto cell_node::implementation::plan(time_point now) -> std::optional<cell_record> {
+    if (superseded_) {
+        return std::nullopt;
+    }
+    auto next = record_;
+    auto changed = renewal_due(now);
+    if (me() == nullptr) {
+        if (!plan_join(next)) {
+            return std::nullopt;
+        }
+        changed = true;
+    } else if (const auto gone = removable(now); gone && table_confirmed()) {
+        next.members.erase(*gone);
+        ++next.table_version;
+        changed = true;
+    }
+    changed = plan_roles(now, next) || changed;
+    changed = next.members.at(self_.instance.value).leaving != leaving_ || changed;
+    if (!changed) {
+        return std::nullopt;
+    }
+    auto& slot = next.members.at(self_.instance.value);
+    ++slot.renewals;
+    slot.leaving = leaving_;
+    return next;
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/cell_table.cpp
@@ -0,0 +1,136 @@
+#include "cell_node_impl.h"
+
+#include <algorithm>
+
+namespace citronlug {
+
+namespace {
+
+/// Largest table; it bounds the heartbeats of a node.
+constexpr std::size_t max_members = 9;
+constexpr duration confirmation_interval = 200ms;
+
+} // namespace
+
+/// Adds this instance to the record: as its creator, as a new incarnation of its slot, or as a new member. Only
+/// the last changes the table and needs confirmation.
+auto cell_node::implementation::plan_join(cell_record& next) const -> bool {
+    if (leaving_) {
+        return false;
+    }
+    auto entry = self_;
+    entry.leaving = false;
+    if (const auto slot = next.members.find(self_.instance.value); slot != next.members.end()) {
+        entry.renewals = slot->second.renewals;
+        slot->second = std::move(entry);
+        return true;
+    }
+    entry.renewals = 0;
+    if (record_.version != 0) {
+        if (next.members.size() >= max_members || !table_confirmed()) {
+            return false;
+        }
+        ++next.table_version;
+    }
+    next.members.emplace(self_.instance.value, std::move(entry));
+    return true;
+}
+
+/// A member that the platform's list no longer has, that was silent for long and that holds no role. The live
+/// member with the lowest id removes it, so that the others need not try.
+auto cell_node::implementation::removable(time_point now) const -> std::optional<std::string> {
+    if (list_.empty() || !may_answer(now)) {
+        return std::nullopt;
+    }
+    for (const auto& [id, member] : record_.members) {
+        if (is_live(now, id)) {
+            if (id != self_.instance.value) {
+                return std::nullopt;
+            }
+            break;
+        }
+    }
+    for (const auto& [id, member] : record_.members) {
+        const auto heard = heard_.find(id);
+        const auto last = heard == heard_.end() ? started_ : std::max(started_, heard->second.at);
+        const auto holds =
+            std::any_of(record_.roles.begin(), record_.roles.end(), [&](const auto& it) { return it.second.holder.value == id; });
+        if (id != self_.instance.value && !list_.contains(id) && !holds &&
+            now - last >= settings_.member_removal_delay) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+/// True if more than half of the present table hold the present table version. The versions of an instance only
+/// grow, so a confirmation does not age.
+auto cell_node::implementation::table_confirmed() const -> bool {
+    if (confirm_version_ != record_.table_version) {
+        return false;
+    }
+    const auto held = std::count_if(confirmed_.begin(), confirmed_.end(),
+                                    [&](const auto& id) { return record_.members.contains(id); });
+    return static_cast<std::size_t>(held) >= majority();
+}
+
+auto cell_node::implementation::ask_confirmation(time_point now) -> void {
+    const auto joining = me() == nullptr && record_.version != 0 && !leaving_ && !superseded_ &&
+                         !record_.members.contains(self_.instance.value) &&
+                         record_.members.size() < max_members;
+    if ((!joining && !removable(now)) || table_confirmed()) {
+        return;
+    }
+    if (confirm_version_ != record_.table_version) {
+        confirm_version_ = record_.table_version;
+        confirmed_.clear();
+        confirm_call_ = last_call_ + 1;
+    } else if (now - confirm_asked_ < confirmation_interval) {
+        return;
+    }
+    confirm_asked_ = now;
+    if (me() != nullptr) {
+        confirmed_.insert(self_.instance.value);
+    }
+    const auto request = table_request{self_.instance, record_.table_version, ++last_call_};
+    for (const auto& [id, member] : record_.members) {
+        if (id != self_.instance.value && !confirmed_.contains(id)) {
+            send(member.instance, request);
+        }
+    }
+    // The table may have changed without this instance, which gets no heartbeats before it has joined.
+    read_wanted_ = read_wanted_ || (joining && now - store_asked_ >= settings_.store_renewal_interval);
+}
+
+auto cell_node::implementation::on_message(time_point now, const table_request& message) -> void {
+    const auto held = me() != nullptr && record_.table_version >= message.table_version;
+    send(message.from, table_answer{self_.instance, message.call, held});
+    if (record_.table_version < message.table_version) {
+        read_wanted_ = true;
+        drive_store(now);
+    }
+}
+
+auto cell_node::implementation::on_message(time_point now, const table_answer& message) -> void {
+    // Calls are numbered in order; an answer to a question about an earlier table does not count.
+    if (message.held && message.call >= confirm_call_) {
+        confirmed_.insert(message.from.value);
+        drive_store(now);
+    }
+}
+
+auto cell_node::implementation::on_message(time_point /*now*/, const record_request& message) -> void {
+    send(message.from, record_answer{self_.instance, message.call, record_.version, to_json(record_)});
+}
+
+auto cell_node::implementation::on_message(time_point now, const record_answer& message) -> void {
+    if (message.version <= record_.version) {
+        return;
+    }
+    if (auto parsed = parse_cell_record(message.text, message.version); succeeded(parsed)) {
+        adopt(now, std::get<cell_record>(std::move(parsed)));
+        drive_store(now);
+    }
+}
+
+} // namespace citronlug
