--- a/src/include/citronlug/accountant.h
+++ b/src/include/citronlug/accountant.h
@@ -3,6 +3,7 @@
 #include <citronlug/types.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,11 +18,19 @@
     auto operator==(const rate_limit&) const -> bool = default;
 };
 
-/// Life of a grant, counted at the entry from before it asked.
+/// Longest life of a grant, counted at the entry from before it asked.
 inline constexpr duration grant_life = 1s;
 
+/// Life of the grants of one client account: half the time in which its rate fills its burst, between 20 ms
+/// and `grant_life`. A grant counts against the burst for its life, so longer lives would keep an account
+/// with a small burst below its rate.
+[[nodiscard]] auto grant_life_for(rate_limit limit) -> duration;
+
 /// Token bucket of one client account at its accountant. A new accountant starts with an empty bucket,
-/// since tokens of its predecessor may have been spent a moment ago. Not thread-safe.
+/// since tokens of its predecessor may have been spent a moment ago; for one grant life it counts the whole
+/// burst as granted, because after a hand-over grants of the predecessor may be alive. The level and the
+/// grants alive together never exceed the burst, so the use in any time T is at most rate * T + burst. Not
+/// thread-safe.
 class accountant {
 public:
     accountant(rate_limit limit, time_point now);
@@ -29,17 +38,28 @@
     auto set_limit(time_point now, rate_limit limit) -> void;
     /// Takes up to `wanted` whole tokens; the entry may spend them for `grant_life`.
     [[nodiscard]] auto take(time_point now, std::uint32_t wanted) -> std::uint32_t;
-    /// Unspent tokens that an entry returns. They count only while their grant is alive, and never above the
-    /// burst.
+    /// Unspent tokens that an entry returns, from the grant that `take` made at `granted_at`. They count only
+    /// while that grant is alive, and never above the burst.
     auto give_back(time_point now, time_point granted_at, std::uint32_t unspent) -> void;
     /// Time until one token is there.
     [[nodiscard]] auto wait_for_token(time_point now) const -> duration;
     [[nodiscard]] auto level(time_point now) const -> double;
 
 private:
+    struct grant {
+        time_point granted_at;
+        double tokens = 0;
+    };
+
+    [[nodiscard]] auto expiry(const grant& it) const -> time_point;
+    [[nodiscard]] auto outstanding() const -> double;
+    auto advance(time_point now) -> void;
+    auto earn(time_point until) -> void;
+
     rate_limit limit_;
     double level_ = 0;
     time_point updated_;
+    std::deque<grant> alive_; ///< oldest first
 };
 
 /// What the entry does with a request that needs a token.
@@ -60,7 +80,9 @@
 
     virtual auto set_limit(time_point now, rate_limit limit, std::uint32_t live_instances) -> void = 0;
     /// Spends one token if there is one. `ask`: send `ask_size` to the accountant, queue the request;
-    /// `wait`: a question is under way; `refused`: the account is over its rate.
+    /// `wait`: a question is under way, or the accountant will have a token before the deadline; admit again
+    /// after `on_grant` and at `retry_at`. `refused`: the accountant says that the account is over its rate
+    /// and that the token would come after the deadline.
     [[nodiscard]] virtual auto admit(time_point now, time_point deadline) -> admission = 0;
     /// Tokens to ask for now; the owner asks the accountant and reports with `on_grant`.
     [[nodiscard]] virtual auto ask_size(time_point now) -> std::uint32_t = 0;
@@ -70,6 +92,8 @@
         -> void = 0;
     /// The accountant did not answer or has changed.
     virtual auto on_grant_failed(time_point now) -> void = 0;
+    /// Earliest time at which admitting a waiting request again may have another result without an answer.
+    [[nodiscard]] virtual auto retry_at(time_point now) const -> time_point { return now; }
 };
 
 } // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/accountant.cpp
@@ -0,0 +1,116 @@
+#include <citronlug/accountant.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace citronlug {
+
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+/// Rounding of repeated additions must not keep a whole token back.
+constexpr double epsilon = 1e-9;
+
+auto span_of(double s) -> duration {
+    return std::chrono::ceil<duration>(seconds{std::min(s, 3600.0)});
+}
+
+} // namespace
+
+auto grant_life_for(rate_limit limit) -> duration {
+    if (limit.rate <= 0) {
+        return grant_life;
+    }
+    return std::clamp(span_of(limit.burst / limit.rate / 2), duration{20ms}, grant_life);
+}
+
+accountant::accountant(rate_limit limit, time_point now) : limit_{limit}, updated_{now} {
+    alive_.push_back({now, limit.burst});
+}
+
+auto accountant::set_limit(time_point now, rate_limit limit) -> void {
+    advance(now);
+    limit_ = limit;
+    level_ = std::clamp(level_, 0.0, std::max(0.0, limit_.burst - outstanding()));
+}
+
+/// The entry's clock may be a tenth slower than this one.
+auto accountant::expiry(const grant& it) const -> time_point {
+    return it.granted_at + grant_life_for(limit_) * 11 / 10;
+}
+
+auto accountant::outstanding() const -> double {
+    auto sum = 0.0;
+    for (const auto& it : alive_) {
+        sum += it.tokens;
+    }
+    return sum;
+}
+
+auto accountant::earn(time_point until) -> void {
+    if (until <= updated_) {
+        return;
+    }
+    const auto cap = std::max(level_, limit_.burst - outstanding());
+    level_ = std::min(cap, level_ + limit_.rate * seconds{until - updated_}.count());
+    updated_ = until;
+}
+
+auto accountant::advance(time_point now) -> void {
+    while (!alive_.empty() && expiry(alive_.front()) <= now) {
+        earn(expiry(alive_.front()));
+        alive_.pop_front();
+    }
+    earn(now);
+}
+
+auto accountant::take(time_point now, std::uint32_t wanted) -> std::uint32_t {
+    advance(now);
+    const auto whole = std::max(0.0, std::floor(level_ + epsilon));
+    const auto n = std::min(static_cast<double>(wanted), whole);
+    if (n > 0) {
+        level_ -= n;
+        alive_.push_back({now, n});
+    }
+    return static_cast<std::uint32_t>(n);
+}
+
+auto accountant::give_back(time_point now, time_point granted_at, std::uint32_t unspent) -> void {
+    advance(now);
+    const auto it = std::find_if(alive_.begin(), alive_.end(),
+                                 [&](const auto& grant) { return grant.granted_at == granted_at; });
+    if (it == alive_.end() || it->granted_at + grant_life_for(limit_) <= now) {
+        return;
+    }
+    const auto n = std::min(static_cast<double>(unspent), it->tokens);
+    it->tokens -= n;
+    level_ = std::min(level_ + n, std::max(0.0, limit_.burst - outstanding()));
+}
+
+auto accountant::level(time_point now) const -> double {
+    auto copy = *this;
+    copy.advance(now);
+    return copy.level_;
+}
+
+auto accountant::wait_for_token(time_point now) const -> duration {
+    auto copy = *this;
+    copy.advance(now);
+    for (;;) {
+        const auto missing = 1.0 - copy.level_ - epsilon;
+        if (missing <= 0) {
+            return copy.updated_ - std::min(now, copy.updated_);
+        }
+        // Tokens come at the rate once the grants alive leave room for one.
+        if (copy.limit_.rate > 0 && copy.limit_.burst - copy.outstanding() >= 1.0 - epsilon) {
+            return copy.updated_ - now + span_of(missing / copy.limit_.rate);
+        }
+        if (copy.alive_.empty() || copy.limit_.rate <= 0) {
+            return 1h;
+        }
+        copy.advance(copy.expiry(copy.alive_.front()));
+    }
+}
+
+} // namespace citronlug
--- a/src/libcitronlug/cell_authority.cpp
+++ b/src/libcitronlug/cell_authority.cpp
@@ -11,8 +11,8 @@
 
 } // namespace
 
-/// Silence that proves expiry on any other clock. Two clocks that are off by 5% in opposite directions differ by
-/// 10.5%, so a lease and its tenth are not quite enough; a tenth of the allowance more covers the rest.
+/// Silence that proves expiry on any other clock. Two clocks that are off by 5% in opposite directions differ
+/// by 10.5%, so a lease and its tenth are not quite enough; a tenth of the allowance more covers the rest.
 auto cell_node::implementation::silence() const -> duration {
     return settings_.lease + settings_.drift_allowance + settings_.drift_allowance / 10;
 }
@@ -86,8 +86,9 @@
     }
     // Without authority no contact is asked for (table version 0): answers could keep nothing alive, but they
     // would keep the peers from taking over the roles.
-    const auto message = heartbeat_message{
-        self_.instance,  self_.run, active_ ? record_.table_version : 0, record_.version, config_version_, call};
+    const auto message =
+        heartbeat_message{self_.instance,  self_.run,       active_ ? record_.table_version : 0,
+                          record_.version, config_version_, call};
     for (const auto& [id, member] : record_.members) {
         if (id != self_.instance.value) {
             send(member.instance, message);
@@ -164,7 +165,8 @@
         return member->second.run == self_.run;
     }
     const auto it = heard_.find(id);
-    return it != heard_.end() && it->second.run == member->second.run && now - it->second.at <= settings_.lease;
+    return it != heard_.end() && it->second.run == member->second.run &&
+           now - it->second.at <= settings_.lease;
 }
 
 } // namespace citronlug
--- a/src/libcitronlug/cell_node_impl.h
+++ b/src/libcitronlug/cell_node_impl.h
@@ -8,8 +8,8 @@
 
 namespace citronlug {
 
-/// State and rules of a cell node. Each rule of docs/leases.md has its member function here; the definitions are
-/// in cell_authority.cpp, cell_promises.cpp, cell_store.cpp, cell_roles.cpp and cell_table.cpp.
+/// State and rules of a cell node. Each rule of docs/leases.md has its member function here; the definitions
+/// are in cell_authority.cpp, cell_promises.cpp, cell_store.cpp, cell_roles.cpp and cell_table.cpp.
 class cell_node::implementation {
 public:
     implementation(cell_id cell, cell_member self, lease_settings settings, std::uint64_t seed,
@@ -77,7 +77,8 @@
     [[nodiscard]] auto promise(time_point now, const promise_request& message) -> bool;
     [[nodiscard]] auto counter_unchanged(time_point now, const instance_id& subject, incarnation run) const
         -> bool;
-    [[nodiscard]] auto takeover_rank(time_point now, const instance_id& subject, incarnation run) const -> int;
+    [[nodiscard]] auto takeover_rank(time_point now, const instance_id& subject, incarnation run) const
+        -> int;
     auto watch_holders(time_point now) -> void;
     auto ask_promises(time_point now, incarnation run, takeover& attempt) -> void;
     auto count_promises(time_point now, incarnation run, takeover& attempt) -> void;
@@ -142,7 +143,7 @@
     bool active_ = false; ///< authority was created and has not expired
     time_point store_until_;
     time_point carried_until_; ///< authority by contact under the table before the last change
-    std::map<std::string, time_point> contacts_; ///< by peer: when the latest accepted heartbeat was sent
+    std::map<std::string, time_point> contacts_;     ///< by peer: when the latest accepted heartbeat was sent
     std::map<std::uint64_t, time_point> heartbeats_; ///< by call: when it was sent
     time_point next_heartbeat_;
     std::map<role_id, epoch_number> held_;
@@ -180,6 +181,7 @@
 };
 
 /// Weight of a candidate for a subject; the highest weight wins on every instance alike.
-[[nodiscard]] auto rendezvous_weight(const std::string& subject, const std::string& candidate) -> std::uint64_t;
+[[nodiscard]] auto rendezvous_weight(const std::string& subject, const std::string& candidate)
+    -> std::uint64_t;
 
 } // namespace citronlug
--- a/src/libcitronlug/cell_node_test.cpp
+++ b/src/libcitronlug/cell_node_test.cpp
@@ -8,10 +8,10 @@
 TEST_GROUP_BASE(a_cell, citronlug::testing::story) {
     cell_simulation cell{3, 1};
 
-    auto setup() -> void override {
+    auto setup()->void override {
         cell.roles = {database_role("a"), database_role("b"), database_role("c"), account_role("x")};
     }
-    auto teardown() -> void override {
+    auto teardown()->void override {
         for (const auto& it : cell.faults) {
             FAIL(it.c_str());
         }
--- a/src/libcitronlug/cell_promises.cpp
+++ b/src/libcitronlug/cell_promises.cpp
@@ -98,10 +98,11 @@
     for (const auto& [run, subject] : holders) {
         const auto answered = answered_.find(run);
         const auto heard = heard_.find(subject.value);
-        // Recent heartbeats mean that the holder is back: promises would only keep its authority from lasting.
-        const auto silent = (answered == answered_.end() || now - answered->second >= silence()) &&
-                            (heard == heard_.end() || heard->second.run != run ||
-                             now - heard->second.at >= settings_.lease);
+        // Recent heartbeats mean that the holder is back: promises would only keep its authority from
+        // lasting.
+        const auto silent =
+            (answered == answered_.end() || now - answered->second >= silence()) &&
+            (heard == heard_.end() || heard->second.run != run || now - heard->second.at >= settings_.lease);
         if (!silent || !counter_unchanged(now, subject, run)) {
             takeovers_.erase(run);
             continue;
@@ -136,8 +137,8 @@
     const auto call = ++last_call_;
     std::erase_if(attempt.asked, [&](const auto& it) { return now - it.second > settings_.lease; });
     attempt.asked.emplace(call, now);
-    const auto request = promise_request{self_.instance,  self_.run,       record_.table_version, call,
-                                         attempt.subject, run};
+    const auto request =
+        promise_request{self_.instance, self_.run, record_.table_version, call, attempt.subject, run};
     if (promise(now, request)) {
         attempt.granted[self_.instance.value] = now;
     }
@@ -149,8 +150,8 @@
     count_promises(now, run, attempt);
 }
 
-/// Step 2 is complete when promises of more than half of the table are in force at this moment. The slot of the
-/// subject has no vote in tables of three and more: the earlier incarnation counts it for itself.
+/// Step 2 is complete when promises of more than half of the table are in force at this moment. The slot of
+/// the subject has no vote in tables of three and more: the earlier incarnation counts it for itself.
 auto cell_node::implementation::count_promises(time_point now, incarnation run, takeover& attempt) -> void {
     if (attempt.fenced || attempt.table_version != record_.table_version ||
         !counter_unchanged(now, attempt.subject, run)) {
--- a/src/libcitronlug/cell_record.cpp
+++ b/src/libcitronlug/cell_record.cpp
@@ -49,9 +49,12 @@
 };
 
 auto to_object(const cell_member& member) -> QJsonObject {
-    return {{"instance", text(member.instance.value)}, {"run", number(member.run)},
-            {"peer", text(member.peer_address)},       {"admin", text(member.admin_address)},
-            {"domain", text(member.domain.value)},     {"renewals", number(member.renewals)},
+    return {{"instance", text(member.instance.value)},
+            {"run", number(member.run)},
+            {"peer", text(member.peer_address)},
+            {"admin", text(member.admin_address)},
+            {"domain", text(member.domain.value)},
+            {"renewals", number(member.renewals)},
             {"leaving", member.leaving}};
 }
 
@@ -75,8 +78,8 @@
     for (const auto& [role, entry] : record.roles) {
         roles.append(to_object(role, entry));
     }
-    const auto root = QJsonObject{
-        {"table_version", number(record.table_version)}, {"members", members}, {"roles", roles}};
+    const auto root =
+        QJsonObject{{"table_version", number(record.table_version)}, {"members", members}, {"roles", roles}};
     return QJsonDocument{root}.toJson(QJsonDocument::Compact).toStdString();
 }
 
--- a/src/libcitronlug/cell_roles.cpp
+++ b/src/libcitronlug/cell_roles.cpp
@@ -80,8 +80,8 @@
     return found;
 }
 
-/// Standby of a holder, in another failure domain if there is one. All roles of a holder get the same standby,
-/// so that one write moves them.
+/// Standby of a holder, in another failure domain if there is one. All roles of a holder get the same
+/// standby, so that one write moves them.
 auto cell_node::implementation::standby_for(const cell_member& holder, time_point now) const -> instance_id {
     auto best = instance_id{};
     auto best_key = std::pair{false, std::uint64_t{0}};
@@ -138,7 +138,8 @@
             // The standby of a database has its connections open already.
             const auto standby = std::find_if(others.begin(), others.end(),
                                               [&](const auto& it) { return it.instance == entry.standby; });
-            to = role.kind == role_kind::database && standby != others.end() ? &*standby : load.least(role, others);
+            to = role.kind == role_kind::database && standby != others.end() ? &*standby
+                                                                             : load.least(role, others);
         } else if (moving != moving_.end()) {
             const auto target = std::find_if(others.begin(), others.end(),
                                              [&](const auto& it) { return it.instance == moving->second; });
@@ -226,7 +227,8 @@
     return changed;
 }
 
-/// Gives one role to the member with the fewest if this instance has the most and the difference is two or more.
+/// Gives one role to the member with the fewest if this instance has the most and the difference is two or
+/// more.
 auto cell_node::implementation::consider_rebalance(time_point now) -> void {
     std::erase_if(moving_, [&](const auto& it) { return !is_live(now, it.second.value); });
     if (!active_ || leaving_ || !moving_.empty() || now - roles_changed_ < rebalance_pause ||
@@ -246,8 +248,8 @@
                 const auto other = load.of(kind, it.first);
                 return other < own || (other == own && it.first >= self_.instance.value);
             });
-        const auto role = std::find_if(held_.begin(), held_.end(),
-                                       [&](const auto& it) { return it.first.kind == kind; });
+        const auto role =
+            std::find_if(held_.begin(), held_.end(), [&](const auto& it) { return it.first.kind == kind; });
         const auto* to = role == held_.end() ? nullptr : load.least(role->first, among);
         if (has_most && to != nullptr && own >= load.of(kind, to->instance.value) + 2) {
             moving_.emplace(role->first, to->instance);
--- a/src/libcitronlug/cell_simulation.h
+++ b/src/libcitronlug/cell_simulation.h
@@ -26,7 +26,8 @@
 /// A cell in true time. All randomness comes from the seed.
 class cell_simulation {
 public:
-    cell_simulation(int members, std::uint64_t seed, double drift = 0.0) : random_{seed} {
+    cell_simulation(int members, std::uint64_t seed, double drift = 0.0)
+        : random_{seed} {
         for (auto n = 0; n < members; ++n) {
             auto it = std::make_unique<simulated_node>();
             it->id = fmt::format("i{}", n + 1);
@@ -44,8 +45,8 @@
     double duplication = 0;
     duration max_delay = 3ms;
     bool store_up = true;
-    double store_loss = 0;          ///< lost before the effect, after it, or effect after the time-out
-    cell_record stored;             ///< the store's object
+    double store_loss = 0;           ///< lost before the effect, after it, or effect after the time-out
+    cell_record stored;              ///< the store's object
     std::vector<std::string> faults; ///< violations found
     std::size_t messages = 0;
     std::vector<cell_event> events;
@@ -69,7 +70,8 @@
         it.backlog.clear();
         it.paused_until = now;
         it.believes_until = at(0ms);
-        auto self = cell_member{instance_id{it.id}, it.run, it.id + ":1", it.id + ":2", failure_domain{it.domain}};
+        auto self =
+            cell_member{instance_id{it.id}, it.run, it.id + ":1", it.id + ":2", failure_domain{it.domain}};
         it.node = std::make_unique<cell_node>(cell_id{"c1"}, self, lease_settings{}, random_(), local(n));
         it.node->set_roles(local(n), roles);
         tick(n, it.run);
@@ -176,7 +178,9 @@
         }
     };
 
-    [[nodiscard]] auto delay() -> duration { return duration{200 + below(static_cast<int>(max_delay.count()))}; }
+    [[nodiscard]] auto delay() -> duration {
+        return duration{200 + below(static_cast<int>(max_delay.count()))};
+    }
 
     auto tick(std::size_t n, incarnation run) -> void {
         if (!nodes[n]->node || nodes[n]->run != run) {
@@ -230,7 +234,8 @@
         for (auto n = 0; n < copies && !blocked[from][to]; ++n) {
             after(delay(), [this, from, to, it = message.message] {
                 if (!blocked[from][to] && nodes[to]->node) {
-                    deliver(to, nodes[to]->run, [this, to, it] { nodes[to]->node->on_peer_message(local(to), it); });
+                    deliver(to, nodes[to]->run,
+                            [this, to, it] { nodes[to]->node->on_peer_message(local(to), it); });
                 }
             });
         }
--- a/src/libcitronlug/cell_store.cpp
+++ b/src/libcitronlug/cell_store.cpp
@@ -57,7 +57,8 @@
     written_ = std::move(next);
 }
 
-auto cell_node::implementation::on_store_reply(time_point now, std::uint64_t call, store_reply reply) -> void {
+auto cell_node::implementation::on_store_reply(time_point now, std::uint64_t call, store_reply reply)
+    -> void {
     begin_event(now);
     if (phase_ == store_phase::idle || call != store_call_) {
         return;
@@ -67,7 +68,8 @@
         // The effect of a write is not known. The next step is a read in any case, and authority comes only
         // from a write that was answered.
         read_wanted_ = true;
-        next_store_ = now + store_retry / 2 + duration{random_() % static_cast<std::uint64_t>(store_retry.count())};
+        next_store_ =
+            now + store_retry / 2 + duration{random_() % static_cast<std::uint64_t>(store_retry.count())};
         return;
     }
     last_store_ok_ = now;
--- a/src/libcitronlug/cell_table.cpp
+++ b/src/libcitronlug/cell_table.cpp
@@ -12,8 +12,8 @@
 
 } // namespace
 
-/// Adds this instance to the record: as its creator, as a new incarnation of its slot, or as a new member. Only
-/// the last changes the table and needs confirmation.
+/// Adds this instance to the record: as its creator, as a new incarnation of its slot, or as a new member.
+/// Only the last changes the table and needs confirmation.
 auto cell_node::implementation::plan_join(cell_record& next) const -> bool {
     if (leaving_) {
         return false;
@@ -53,8 +53,8 @@
     for (const auto& [id, member] : record_.members) {
         const auto heard = heard_.find(id);
         const auto last = heard == heard_.end() ? started_ : std::max(started_, heard->second.at);
-        const auto holds =
-            std::any_of(record_.roles.begin(), record_.roles.end(), [&](const auto& it) { return it.second.holder.value == id; });
+        const auto holds = std::any_of(record_.roles.begin(), record_.roles.end(),
+                                       [&](const auto& it) { return it.second.holder.value == id; });
         if (id != self_.instance.value && !list_.contains(id) && !holds &&
             now - last >= settings_.member_removal_delay) {
             return id;
@@ -63,8 +63,8 @@
     return std::nullopt;
 }
 
-/// True if more than half of the present table hold the present table version. The versions of an instance only
-/// grow, so a confirmation does not age.
+/// True if more than half of the present table hold the present table version. The versions of an instance
+/// only grow, so a confirmation does not age.
 auto cell_node::implementation::table_confirmed() const -> bool {
     if (confirm_version_ != record_.table_version) {
         return false;
