--- /dev/null
+++ b/src/citronlug/http_client.cpp
@@ -0,0 +1,95 @@
+#include "http_client.h"
+
+#include <QEventLoop>
+#include <QJsonDocument>
+#include <QNetworkProxy>
+#include <QNetworkReply>
+#include <QTimer>
+
+#include <memory>
+
+namespace citronlug {
+
+namespace {
+
+/// True if the request certainly did not reach the server.
+auto is_not_sent(QNetworkReply::NetworkError error) -> bool {
+    return error == QNetworkReply::ConnectionRefusedError || error == QNetworkReply::HostNotFoundError;
+}
+
+/// True if the server has refused the change without effect and another server may accept it.
+auto is_refused_for_now(const call_result& it) -> bool {
+    const auto body = QJsonDocument::fromJson(it.body).object();
+    return it.http_status == 503 && body.value("error").toObject().value("code").toString() == "no-authority";
+}
+
+} // namespace
+
+http_client::http_client(std::vector<std::string> servers, std::string token, duration timeout)
+    : servers_(std::move(servers))
+    , token_(std::move(token))
+    , timeout_(timeout) {
+    network_.setProxy(QNetworkProxy{QNetworkProxy::NoProxy});
+}
+
+auto http_client::get(const QString& path) -> call_result {
+    return call_servers(path, std::nullopt);
+}
+
+auto http_client::post(const QString& path, const QJsonObject& body) -> call_result {
+    return call_servers(path, QJsonDocument{body}.toJson(QJsonDocument::Compact));
+}
+
+auto http_client::pause(duration time) -> void {
+    auto loop = QEventLoop{};
+    QTimer::singleShot(static_cast<int>(time / 1ms), &loop, &QEventLoop::quit);
+    loop.exec();
+}
+
+auto http_client::call_servers(const QString& path, const std::optional<QByteArray>& body) -> call_result {
+    auto outcome = call_result{};
+    for (std::size_t n = 0; n < servers_.size(); ++n) {
+        const auto index = next_;
+        outcome = call(servers_[index], path, body);
+        const auto answered = outcome.status == call_status::answered && !is_refused_for_now(outcome);
+        const auto uncertain = body && outcome.status == call_status::unanswered;
+        if (answered || uncertain) {
+            return outcome;
+        }
+        next_ = (index + 1) % servers_.size();
+    }
+    return outcome;
+}
+
+auto http_client::call(const std::string& server, const QString& path, const std::optional<QByteArray>& body)
+    -> call_result {
+    auto request = QNetworkRequest{QUrl{"http://" + QString::fromStdString(server) + "/admin/v1" + path}};
+    request.setRawHeader("Authorization", "Bearer " + QByteArray::fromStdString(token_));
+    request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+    request.setTransferTimeout(static_cast<int>(timeout_ / 1ms));
+    // A redirect could send the token to another host.
+    request.setAttribute(QNetworkRequest::RedirectPolicyAttribute, QNetworkRequest::ManualRedirectPolicy);
+    const auto reply =
+        std::unique_ptr<QNetworkReply>{body ? network_.post(request, *body) : network_.get(request)};
+    auto loop = QEventLoop{};
+    QObject::connect(reply.get(), &QNetworkReply::finished, &loop, &QEventLoop::quit);
+    if (!reply->isFinished()) {
+        loop.exec();
+    }
+    auto outcome = call_result{};
+    outcome.server = server;
+    outcome.http_status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    outcome.body = reply->readAll();
+    // An HTTP status with a broken body is no answer; HTTP errors such as 409 are answers.
+    const auto error = reply->error();
+    const auto complete = error == QNetworkReply::NoError || error > QNetworkReply::ProxyTimeoutError;
+    if (outcome.http_status > 0 && complete) {
+        outcome.status = call_status::answered;
+    } else {
+        outcome.status = is_not_sent(error) ? call_status::not_sent : call_status::unanswered;
+        outcome.message = server + ": " + reply->errorString().toStdString();
+    }
+    return outcome;
+}
+
+} // namespace citronlug
