Give each change of an operator an id that makes it idempotent

Qt repeats a request whose connection closes without an answer, and an operator does too. With the id in the history the second call reports the first change instead of making another one, and the command line may try the next server.

--- a/src/citronlug/commands.cpp
+++ b/src/citronlug/commands.cpp
@@ -129,6 +129,13 @@
         return report_failure(line, context, outcome);
     }
     const auto answer = body_of(outcome);
+    if (answer.value("repeated").toBool()) {
+        fmt::print(context.err,
+                   "the key was issued, but the answer with its secret was lost; withdraw it and issue "
+                   "another: {}\n",
+                   text(answer.value("change").toObject(), "summary"));
+        return exit_code::failed;
+    }
     if (!line.json) {
         // Only the key goes to standard output, so that it can be piped to where it is needed.
         fmt::print(context.out, "{}\n", text(answer, "key"));
--- a/src/citronlug/http_client.cpp
+++ b/src/citronlug/http_client.cpp
@@ -4,8 +4,10 @@
 #include <QJsonDocument>
 #include <QNetworkProxy>
 #include <QNetworkReply>
+#include <QRandomGenerator>
 #include <QTimer>
 
+#include <array>
 #include <memory>
 
 namespace citronlug {
@@ -33,11 +35,23 @@
 }
 
 auto http_client::get(const QString& path) -> call_result {
-    return call_servers(path, std::nullopt);
+    auto outcome = call_servers(path, std::nullopt);
+    if (outcome.status == call_status::unanswered) {
+        outcome.status = call_status::not_sent; // a question has no effect
+    }
+    return outcome;
 }
 
 auto http_client::post(const QString& path, const QJsonObject& body) -> call_result {
-    return call_servers(path, QJsonDocument{body}.toJson(QJsonDocument::Compact));
+    // With an id of its own the change is made once, however often the request arrives.
+    auto order = body;
+    auto id = std::array<quint32, 4>{};
+    QRandomGenerator::system()->fillRange(id.data(), id.size());
+    order.insert(
+        "change_id",
+        QString::fromUtf8(
+            QByteArray{reinterpret_cast<const char*>(id.data()), static_cast<qsizetype>(sizeof id)}.toHex()));
+    return call_servers(path, QJsonDocument{order}.toJson(QJsonDocument::Compact));
 }
 
 auto http_client::pause(duration time) -> void {
@@ -48,17 +62,19 @@
 
 auto http_client::call_servers(const QString& path, const std::optional<QByteArray>& body) -> call_result {
     auto outcome = call_result{};
+    auto unanswered = std::optional<call_result>{};
     for (std::size_t n = 0; n < servers_.size(); ++n) {
-        const auto index = next_;
-        outcome = call(servers_[index], path, body);
-        const auto answered = outcome.status == call_status::answered && !is_refused_for_now(outcome);
-        const auto uncertain = body && outcome.status == call_status::unanswered;
-        if (answered || uncertain) {
+        outcome = call(servers_[next_], path, body);
+        if (outcome.status == call_status::answered && !is_refused_for_now(outcome)) {
             return outcome;
         }
-        next_ = (index + 1) % servers_.size();
+        if (outcome.status == call_status::unanswered) {
+            unanswered = outcome;
+        }
+        next_ = (next_ + 1) % servers_.size();
     }
-    return outcome;
+    // A refusal by one server says nothing about a change that another one may have made.
+    return unanswered.value_or(outcome);
 }
 
 auto http_client::call(const std::string& server, const QString& path, const std::optional<QByteArray>& body)
--- a/src/citronlug/http_client.h
+++ b/src/citronlug/http_client.h
@@ -11,7 +11,7 @@
 namespace citronlug {
 
 /// Administration API over HTTP. Tries the servers in order, and starts with the one that answered last.
-/// A change is passed to the next server only if it certainly did not reach the one before.
+/// A change carries a random id, so that it is made once even if it reaches several servers.
 class http_client : public transport {
 public:
     http_client(std::vector<std::string> servers, std::string token, duration timeout);
--- a/src/citronlugd/admin_api.cpp
+++ b/src/citronlugd/admin_api.cpp
@@ -82,6 +82,18 @@
                keys.end());
 }
 
+auto is_change_id(const std::string& text) -> bool {
+    return text.size() >= 16 && text.size() <= 64 &&
+           text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+auto new_order(const QJsonObject& body, const std::string& author) -> change_order {
+    auto order = change_order{};
+    order.author = author;
+    order.id = body.value("change_id").toString().toStdString();
+    return order;
+}
+
 /// A body as JSON object; nothing if it is none.
 auto parse_body(const std::string& body) -> std::optional<QJsonObject> {
     const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(body));
@@ -222,6 +234,9 @@
         if (!body) {
             return done(bad_request("the body is no JSON object"));
         }
+        if (body->contains("change_id") && !is_change_id(body->value("change_id").toString().toStdString())) {
+            return done(bad_request("accepted: change_id of 16 to 64 hexadecimal digits"));
+        }
         constexpr std::string_view keys = "/keys/";
         constexpr std::string_view withdraw = "/withdraw";
         if (path == "/rules") {
@@ -254,8 +269,7 @@
             return done(rules_refused(to_json_array(*errors)));
         }
         const auto base = static_cast<std::uint64_t>(expected.toInteger());
-        auto order = change_order{};
-        order.author = author;
+        auto order = new_order(body, author);
         order.summary = summary;
         order.edit = [base, text, rules = std::get<rule_set>(std::move(parsed))](
                          const configuration& current) -> std::variant<configuration, admin_response> {
@@ -270,8 +284,8 @@
             }
             return next;
         };
-        order.accepted = [](std::uint64_t, const configuration& config) {
-            return QJsonObject{{"change", to_json_object(config.history.back())}};
+        order.accepted = [](const config_change& change, bool) {
+            return QJsonObject{{"change", to_json_object(change)}};
         };
         run_change(daemon_, std::move(order), done);
     }
@@ -283,8 +297,7 @@
             return done(bad_request("accepted: account, requester (who asked for the key)"));
         }
         const auto key = issue_key(account, requester);
-        auto order = change_order{};
-        order.author = author;
+        auto order = new_order(body, author);
         order.summary =
             fmt::format("key {} issued for {}, asked by {}", key.entry.id.value, account.value, requester);
         order.repeat_after_conflict = true;
@@ -298,7 +311,11 @@
             next.keys.push_back(entry);
             return next;
         };
-        order.accepted = [key](std::uint64_t, const configuration&) {
+        order.accepted = [key](const config_change& change, bool repeated) {
+            if (repeated) {
+                // The key of the earlier call is not stored, so it cannot be shown again.
+                return QJsonObject{{"change", to_json_object(change)}};
+            }
             return QJsonObject{{"id", to_qt(key.entry.id.value)},
                                {"account", to_qt(key.entry.account.value)},
                                {"key", to_qt(key.text)}};
@@ -312,8 +329,7 @@
         if (!is_plain_text(reason)) {
             return done(bad_request("accepted: reason (one line)"));
         }
-        auto order = change_order{};
-        order.author = author;
+        auto order = new_order(body, author);
         order.summary = fmt::format("key {} withdrawn: {}", id.value, reason);
         order.repeat_after_conflict = true;
         order.edit = [id](const configuration& current) -> std::variant<configuration, admin_response> {
@@ -333,7 +349,7 @@
             drop_old_revoked(next.keys);
             return next;
         };
-        order.accepted = [id](std::uint64_t, const configuration&) {
+        order.accepted = [id](const config_change&, bool) {
             return QJsonObject{{"id", to_qt(id.value)}};
         };
         run_change(daemon_, std::move(order), done);
--- a/src/citronlugd/admin_api_test.cpp
+++ b/src/citronlugd/admin_api_test.cpp
@@ -231,6 +231,21 @@
     CHECK(!answer["confirmed"].toBool() && !answer["warning"].toString().isEmpty());
 }
 
+// Guards against a change that is made twice because its answer was lost on the way to the operator.
+TEST(applying_rules, is_done_once_however_often_it_is_asked_for) {
+    const auto order = QJsonObject{
+        {"text", rules_1}, {"expected_version", 0}, {"summary", "first"}, {"change_id", "0123456789abcdef"}};
+    CHECK_EQUAL(200, call("POST", "/rules", order));
+    CHECK_EQUAL(200, call("POST", "/rules", order));
+    CHECK(answer["repeated"].toBool() && answer["version"].toInt() == 1);
+    const auto key = QJsonObject{{"account", "shop"}, {"requester", "x"}, {"change_id", "fedcba9876543210"}};
+    CHECK_EQUAL(200, call("POST", "/keys", key));
+    CHECK_EQUAL(200, call("POST", "/keys", key));
+    CHECK(!answer.contains("key") && answer["repeated"].toBool());
+    CHECK_EQUAL(1U, daemon.stored.keys.size());
+    CHECK_EQUAL(400, call("POST", "/keys", {{"account", "shop"}, {"requester", "x"}, {"change_id", "a b"}}));
+}
+
 TEST(applying_rules, does_not_guess_when_the_store_stays_silent) {
     daemon.faults = {store_fault::lost_answer};
     CHECK_EQUAL(200, apply(rules_1, 0));
--- a/src/citronlugd/config_change_call.cpp
+++ b/src/citronlugd/config_change_call.cpp
@@ -13,6 +13,12 @@
 
 constexpr int max_attempts = 5;
 
+auto find_change(const configuration& config, const std::string& id) -> const config_change* {
+    const auto it = std::find_if(config.history.begin(), config.history.end(),
+                                 [&](const auto& change) { return change.id == id; });
+    return it == config.history.end() ? nullptr : &*it;
+}
+
 /// State of one change between the calls to the daemon. The callbacks keep it alive.
 class change_call : public std::enable_shared_from_this<change_call> {
 public:
@@ -35,14 +41,19 @@
 
 private:
     auto prepare(const configuration& current) -> void {
+        if (!order_.id.empty()) {
+            if (const auto* earlier = find_change(current, order_.id); earlier != nullptr) {
+                return accept(*earlier, true);
+            }
+        }
         auto edited = order_.edit(current);
         if (auto* refusal = std::get_if<admin_response>(&edited); refusal != nullptr) {
             return done_(std::move(*refusal));
         }
         next_ = std::get<configuration>(std::move(edited));
         base_ = current.version;
-        change_id_ =
-            record_change(next_, current.rules, order_.author, order_.summary, daemon_.wall_seconds());
+        change_id_ = record_change(next_, current.rules, order_.author, order_.summary,
+                                   daemon_.wall_seconds(), order_.id);
         if (const auto size = to_json(next_).size(); size > max_config_bytes) {
             return done_(
                 error_response({failure_code::bad_request,
@@ -61,7 +72,9 @@
         ++attempts_;
         daemon_.write_config(next_, base_, [self = shared_from_this()](result<std::uint64_t> outcome) {
             if (const auto* version = std::get_if<std::uint64_t>(&outcome); version != nullptr) {
-                return self->accept(*version);
+                auto change = self->next_.history.back();
+                change.version = *version;
+                return self->accept(change, false);
             }
             const auto& error = std::get<failure>(outcome);
             if (error.code == failure_code::store_unavailable) {
@@ -92,10 +105,8 @@
     }
 
     auto decide(const configuration& current) -> void {
-        const auto own = std::find_if(current.history.begin(), current.history.end(),
-                                      [this](const auto& it) { return it.id == change_id_; });
-        if (own != current.history.end()) {
-            return accept(own->version);
+        if (const auto* own = find_change(current, change_id_); own != nullptr) {
+            return accept(*own, false);
         }
         if (current.version == base_) {
             // The update may still be on its way. Repeating it is safe, since only one can succeed.
@@ -109,9 +120,11 @@
         done_(conflict_response(current, base_));
     }
 
-    auto accept(std::uint64_t version) -> void {
-        auto body = order_.accepted(version, next_);
+    auto accept(const config_change& change, bool repeated) -> void {
+        const auto version = change.version;
+        auto body = order_.accepted(change, repeated);
         body.insert("version", static_cast<qint64>(version));
+        body.insert("repeated", repeated);
         body.insert("confirmed", true);
         if (const auto refusal = daemon_.refuse_change()) {
             body.insert("confirmed", false);
--- a/src/citronlugd/config_change_call.h
+++ b/src/citronlugd/config_change_call.h
@@ -15,13 +15,15 @@
 struct change_order {
     std::string author;
     std::string summary;
+    /// Chosen by the operator's program, or empty. A change whose id is in the history is not made again.
+    std::string id;
     /// Changes the configuration that the store holds, or answers why not. It may be called again with a
     /// newer configuration if `repeat_after_conflict` is set.
     std::function<std::variant<configuration, admin_response>(const configuration& current)> edit;
     /// True for changes that are right on any version, such as a new key.
     bool repeat_after_conflict = false;
-    /// Answer to an accepted change.
-    std::function<QJsonObject(std::uint64_t version, const configuration& config)> accepted;
+    /// Answer to an accepted change; `repeated` if an earlier call with the same id made it.
+    std::function<QJsonObject(const config_change& change, bool repeated)> accepted;
 };
 
 /// Performs the change: reads, edits, updates conditionally. After a lost answer it reads back and tells
--- a/src/include/citronlug/config.h
+++ b/src/include/citronlug/config.h
@@ -53,9 +53,9 @@
 /// A configuration with no rules and no keys and a new token secret.
 [[nodiscard]] auto initial_configuration() -> configuration;
 
-/// Adds a change to the history with a new random id, which it returns. `before` are the rules of the
-/// version that is replaced.
+/// Adds a change to the history and returns its id, a new random one if `id` is empty. `before` are the
+/// rules of the version that is replaced.
 auto record_change(configuration& config, const rule_set& before, std::string author, std::string summary,
-                   std::int64_t time_s) -> std::string;
+                   std::int64_t time_s, std::string id = {}) -> std::string;
 
 } // namespace citronlug
--- a/src/libcitronlug/config.cpp
+++ b/src/libcitronlug/config.cpp
@@ -135,9 +135,9 @@
 }
 
 auto record_change(configuration& config, const rule_set& before, std::string author, std::string summary,
-                   std::int64_t time_s) -> std::string {
+                   std::int64_t time_s, std::string id) -> std::string {
     auto change = config_change{};
-    change.id = random_hex<change_id_bytes>();
+    change.id = id.empty() ? random_hex<change_id_bytes>() : std::move(id);
     change.author = std::move(author);
     change.summary = std::move(summary);
     change.time_s = time_s;
