--- a/src/citronlugd/admin_api_test.cpp
+++ b/src/citronlugd/admin_api_test.cpp
@@ -48,10 +48,7 @@
     }
     auto write_config(const configuration& config, std::uint64_t expected,
                       callback<result<std::uint64_t>> done) -> void override {
-        if (late) {
-            update(*late);
-            late.reset();
-        }
+        settle();
         const auto fault = faults.empty() ? store_fault::none : faults.front();
         if (!faults.empty()) {
             faults.pop_front();
@@ -83,6 +80,14 @@
     }
     auto wall_seconds() -> std::int64_t override { return 1'780'000'000; }
 
+    /// Lets a delayed update reach the store.
+    auto settle() -> void {
+        if (late) {
+            update(*late);
+            late.reset();
+        }
+    }
+
     configuration stored = initial_configuration();
     std::deque<store_fault> faults;
     int failing_reads = 0;
@@ -271,6 +276,7 @@
         const auto status = commutes
                                 ? story.call("POST", "/keys", {{"account", "shop"}, {"requester", "wanted"}})
                                 : story.apply(rules_2, 1, "wanted");
+        story.daemon.settle();
         const auto& history = story.daemon.stored.history;
         const auto n = std::count_if(history.begin(), history.end(), [](const auto& it) {
             return it.summary.find("wanted") != std::string::npos;
