--- /dev/null
+++ b/src/citronlugd/holder_shard.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "event_thread.h"
+#include "pg_connection.h"
+
+#include <citronlug/database_holder.h>
+
+#include <QTimer>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace citronlug {
+
+/// Reports an answer together with the epoch under which the holder gave it. Called on the shard's thread.
+using answer_handler = std::function<void(answer value, epoch_number holder_epoch)>;
+using event_sink = std::function<void(const std::string& subject, const std::string& kind, const std::string& detail)>;
+
+/// The holders of some databases on one thread. Performs their actions: connections, statements, probes,
+/// answers. All public methods are thread-safe.
+class holder_shard {
+public:
+    holder_shard(const std::string& name, pg_options options, event_sink events);
+    ~holder_shard();
+    holder_shard(const holder_shard&) = delete;
+    auto operator=(const holder_shard&) -> holder_shard& = delete;
+
+    /// Starts to act for a database, or replaces its settings if the epoch is the same.
+    auto hold(const database_settings& settings, epoch_number epoch, time_point authority) -> void;
+    /// Stops acting; queued work is answered with "not run", running work as unknown.
+    auto release(const database_id& database) -> void;
+    auto set_authority(time_point valid_until) -> void;
+    /// Answers `not_holder` if the database is not held here. The request's session with the caller is
+    /// identified by account and request id in `cancel`.
+    auto execute(request work, answer_handler done) -> void;
+    auto cancel(const database_id& database, const account_id& account, const request_id& id) -> void;
+    auto revoke(const key_id& key) -> void;
+    auto start_drain() -> void;
+    [[nodiscard]] auto drained() const -> bool;
+    [[nodiscard]] auto status() const -> std::vector<holder_status>;
+    /// Keeps connections to the members of databases for which this instance is standby.
+    auto set_standby(const std::vector<database_settings>& databases) -> void;
+    auto stop() -> void;
+
+private:
+    struct held;
+    struct standby_connection;
+
+    auto on_timer() -> void;
+    auto perform(held& holder) -> void;
+    auto perform_one(held& holder, const holder_action& action) -> void;
+    auto open(held& holder, const open_connection& action) -> void;
+    auto probe(held& holder, const probe_member& action) -> void;
+    auto control_statement(held& holder, const member_id& member, const std::string& sql,
+                           std::function<void(held&, const pipeline_result&)> done) -> void;
+    auto keep_standby_connections(time_point now) -> void;
+    auto find(const database_id& database, std::uint64_t generation) -> held*;
+
+    std::string name_;
+    pg_options options_;
+    event_sink events_;
+    mutable std::mutex guard_; ///< of the map for status(); changes happen on the shard's thread
+    std::map<database_id, std::unique_ptr<held>> holders_;
+    std::uint64_t next_generation_ = 0;
+    time_point authority_;
+    std::vector<database_settings> standby_;
+    std::vector<std::unique_ptr<standby_connection>> standby_connections_;
+    std::vector<std::unique_ptr<pg_connection>> retired_; ///< closed outside of their own handlers
+    std::unique_ptr<QTimer> timer_;
+    event_thread thread_;
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/citronlugd/http_guard.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "http_server.h"
+
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <unordered_set>
+
+namespace citronlug {
+
+class guarded_socket;
+
+/// What all connections of one server share.
+struct http_guard_state {
+    http_limits limits;
+    http_server::key_check check;
+    std::unordered_set<guarded_socket*> sockets;
+    std::int64_t announced_bytes = 0;
+    std::uint64_t rejected = 0;
+};
+
+/// Connection that follows the framing of the requests in front of Qt's parser, which has no limits.
+/// Its slot for readyRead is connected first, so it sees all bytes before the parser does.
+class guarded_socket : public QTcpSocket {
+public:
+    guarded_socket(std::shared_ptr<http_guard_state> state, QObject* parent);
+    ~guarded_socket() override;
+
+    /// The reply has been written; the next request may come.
+    auto request_finished() -> void;
+    /// Closes the connection if a time limit has passed.
+    auto check_time(time_point now) -> void;
+    /// True while no request is under way and no valid key has been seen.
+    [[nodiscard]] auto is_evictable() const -> bool;
+    [[nodiscard]] auto last_activity() const -> time_point { return activity_; }
+    /// Sends an error and closes. Later input is discarded.
+    auto reject(int status, const char* code, const char* message) -> void;
+
+private:
+    enum class phase { idle, header, body, handling, closing };
+
+    auto scan() -> void;
+    auto header_complete() -> bool;
+    auto release_announced() -> void;
+
+    std::shared_ptr<http_guard_state> state_;
+    phase phase_ = phase::idle;
+    QByteArray head_;
+    std::int64_t body_left_ = 0;
+    std::int64_t announced_ = 0;
+    time_point connected_at_;
+    time_point started_;  ///< of the present request
+    time_point activity_; ///< last byte read or answer written
+    time_point progress_; ///< last byte that the peer took
+    bool served_ = false;
+    bool known_ = false; ///< a valid key was presented
+    bool keep_open_ = true;
+};
+
+/// Accepts connections as guarded sockets.
+class guarded_listener : public QTcpServer {
+public:
+    explicit guarded_listener(std::shared_ptr<http_guard_state> state);
+
+protected:
+    auto incomingConnection(qintptr handle) -> void override;
+
+private:
+    std::shared_ptr<http_guard_state> state_;
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/citronlugd/peer.capnp
@@ -0,0 +1,138 @@
+@0xbee865f3875709ce;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("citronlug::wire");
+
+# Messages between instances. peer.capnp.h and peer.capnp.c++ are generated with
+# "capnp compile -oc++ peer.capnp" and committed, so that the build does not need the generator.
+
+struct Heartbeat {
+  from @0 :Text;
+  run @1 :UInt64;
+  tableVersion @2 :UInt64;
+  recordVersion @3 :UInt64;
+  configVersion @4 :UInt64;
+  call @5 :UInt64;
+  accepted @6 :Bool;
+}
+
+struct PromiseRequest {
+  from @0 :Text;
+  run @1 :UInt64;
+  tableVersion @2 :UInt64;
+  call @3 :UInt64;
+  subject @4 :Text;
+  subjectRun @5 :UInt64;
+}
+
+struct Confirmation {
+  from @0 :Text;
+  call @1 :UInt64;
+  granted @2 :Bool;
+}
+
+struct TableRequest {
+  from @0 :Text;
+  tableVersion @1 :UInt64;
+  call @2 :UInt64;
+}
+
+struct RecordRequest {
+  from @0 :Text;
+  call @1 :UInt64;
+}
+
+struct RecordAnswer {
+  from @0 :Text;
+  call @1 :UInt64;
+  version @2 :UInt64;
+  text @3 :Text;
+}
+
+struct CellMessage {
+  union {
+    heartbeat @0 :Heartbeat;
+    heartbeatAnswer @1 :Heartbeat;
+    promiseRequest @2 :PromiseRequest;
+    promiseAnswer @3 :Confirmation;
+    tableRequest @4 :TableRequest;
+    tableAnswer @5 :Confirmation;
+    recordRequest @6 :RecordRequest;
+    recordAnswer @7 :RecordAnswer;
+  }
+}
+
+struct Value {
+  union {
+    null @0 :Void;
+    text @1 :Data;
+  }
+}
+
+struct Position {
+  term @0 :UInt64;
+  log @1 :UInt64;
+}
+
+struct Request {
+  id @0 :Text;
+  account @1 :Text;
+  key @2 :Text; # public part only
+  route @3 :Text;
+  database @4 :Text;
+  mode @5 :UInt8;
+  idempotent @6 :Bool;
+  ack @7 :UInt8;
+  remainingUs @8 :Int64; # until the deadline
+  hasSession @9 :Bool;
+  session @10 :Position;
+  maxAgeUs @11 :Int64; # -1: none
+  step @12 :UInt8;
+  transactionEpoch @13 :UInt64;
+  transactionNumber @14 :UInt64;
+  sql @15 :Data;
+  parameters @16 :List(Value);
+  entryDomain @17 :Text;
+}
+
+struct Answer {
+  outcome @0 :UInt8;
+  hasError @1 :Bool;
+  code @2 :UInt8;
+  message @3 :Text;
+  retryAfterUs @4 :Int64;
+  columns @5 :List(Data);
+  cells @6 :List(Value); # row by row
+  rowCount @7 :UInt32;
+  affected @8 :UInt64;
+  reached @9 :Position;
+  servedBy @10 :Text;
+  fromReplica @11 :Bool;
+  replayed @12 :Bool;
+  dataAgeUs @13 :Int64;
+  transactionEpoch @14 :UInt64;
+  transactionNumber @15 :UInt64;
+  holderEpoch @16 :UInt64; # epoch under which the holder answered
+}
+
+# What a connection offers before it is authenticated.
+interface Gate {
+  # Random bytes for the proof of this connection.
+  challenge @0 () -> (nonce :Data);
+  # proof: HMAC-SHA-512/256 of nonce and sender under the fleet's peer secret.
+  enter @1 (from :Text, proof :Data) -> (peer :Peer);
+}
+
+interface Peer {
+  cellMessage @0 (message :CellMessage);
+  execute @1 (request :Request) -> (answer :Answer);
+  takeGrant @2 (account :Text, wanted :UInt32, remainingUs :Int64)
+      -> (held :Bool, tokens :UInt32, waitUs :Int64);
+  giveBack @3 (account :Text, tokens :UInt32, ageUs :Int64);
+  fetchConfig @4 (version :UInt64) -> (version :UInt64, text :Text);
+  locate @5 (kind :UInt8, name :Text)
+      -> (found :Bool, instance :Text, address :Text, epoch :UInt64);
+  timeline @6 (limit :UInt32) -> (lines :List(Text));
+  ping @7 ();
+  cancel @8 (request :Text, database :Text);
+}
--- /dev/null
+++ b/src/citronlugd/pg_connection.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <citronlug/database_holder.h>
+
+#include <QSocketNotifier>
+
+#include <libpq-fe.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace citronlug {
+
+/// How to connect to backend servers.
+struct pg_options {
+    std::string user = "citronlug";
+    std::string password;
+    std::string application; ///< instance id
+};
+
+/// One non-blocking libpq connection in pipeline mode on the event loop of its thread.
+class pg_connection {
+public:
+    using connected_handler = std::function<void(bool success)>;
+    using result_handler = std::function<void(std::uint64_t sequence, pipeline_result outcome)>;
+    using lost_handler = std::function<void()>;
+
+    /// Starts to connect. `connected` is called once, later. `lost` is called once, later, if an established
+    /// connection fails while no pipeline is under way.
+    pg_connection(const member_id& member, const database_id& database, const pg_options& options, time_point now,
+                  connected_handler connected, result_handler finished, lost_handler lost);
+    ~pg_connection();
+    pg_connection(const pg_connection&) = delete;
+    auto operator=(const pg_connection&) -> pg_connection& = delete;
+
+    /// Sends the statements as one pipeline. One pipeline at a time. The outcome is reported later,
+    /// `not_sent` if certainly nothing left this process.
+    auto run(std::uint64_t sequence, const std::vector<statement>& statements) -> void;
+    /// Gives up connecting after the limit.
+    auto check_time(time_point now) -> void;
+    [[nodiscard]] auto is_open() const -> bool { return state_ == state::open; }
+    [[nodiscard]] auto is_busy() const -> bool { return busy_; }
+    /// Passes an open connection to a new owner.
+    auto set_handlers(result_handler finished, lost_handler lost) -> void;
+    /// Why the connection failed.
+    [[nodiscard]] auto message() const -> const std::string& { return message_; }
+
+private:
+    enum class state { connecting, open, failed };
+
+    auto poll_connect() -> void;
+    auto watch(bool read, bool write) -> void;
+    auto on_readable() -> void;
+    auto on_writable() -> void;
+    auto collect() -> void;
+    auto take_result(const PGresult* result) -> void;
+    auto fail(const std::string& why) -> void;
+    auto finish(pipeline_status status) -> void;
+    auto drop_notifiers() -> void;
+
+    PGconn* connection_ = nullptr;
+    state state_ = state::connecting;
+    time_point started_;
+    connected_handler connected_;
+    result_handler finished_;
+    lost_handler lost_;
+    std::unique_ptr<QSocketNotifier> reader_;
+    std::unique_ptr<QSocketNotifier> writer_;
+    QObject guard_; ///< receiver of deferred calls; they die with the connection
+    bool busy_ = false;
+    bool refused_ = false;
+    std::uint64_t sequence_ = 0;
+    pipeline_result outcome_;
+    std::string message_;
+};
+
+/// Reads the answer to `SELECT * FROM citronlug_status()`; nothing if it is malformed.
+[[nodiscard]] auto parse_member_status(const row_set& rows) -> std::optional<member_status>;
+
+} // namespace citronlug
