--- /dev/null
+++ b/src/citronlugd/control_plane.cpp
@@ -0,0 +1,562 @@
+#include "control_plane.h"
+
+#include <QTimer>
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace citronlug {
+
+namespace {
+
+constexpr auto timer_interval_ms = 50;
+/// The platform's list is read and this instance announced at this interval.
+constexpr auto listing_interval = 3s;
+/// A read of the configuration at the store proves that it is current for this long.
+constexpr auto store_evidence = 2s;
+/// A judgement of the timer is used no longer than this, so that a paused process does not act on an old one.
+constexpr auto judgement_life = 200ms;
+constexpr auto watch_wait = 20s;
+constexpr auto store_read_interval = 1s;
+/// Instances that watch the configuration at the store.
+constexpr auto relays_per_cell = std::size_t{2};
+constexpr auto standby_interval = 500ms;
+
+auto since_epoch(time_point time) -> std::int64_t {
+    return time.time_since_epoch().count();
+}
+
+auto stable_hash(std::string_view text) -> std::uint64_t {
+    auto hash = std::uint64_t{14695981039346656037U}; // FNV-1a
+    for (const auto c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211U;
+    }
+    return hash;
+}
+
+} // namespace
+
+auto shard_index(const database_id& database, std::size_t shards) -> std::size_t {
+    return stable_hash(database.value) % shards;
+}
+
+auto cell_of_account(const account_id& account, const rule_set& rules) -> std::optional<cell_id> {
+    auto cells = std::set<cell_id>{};
+    for (const auto& [name, it] : rules.databases) {
+        cells.insert(it.cell);
+    }
+    if (cells.empty()) {
+        return std::nullopt;
+    }
+    const auto n = stable_hash(account.value) % cells.size();
+    return *std::next(cells.begin(), static_cast<std::ptrdiff_t>(n));
+}
+
+struct control_plane::parts {
+    parts(const process_settings& settings, incarnation run)
+        : self{settings.instance, run, settings.peer_address, settings.admin_address, settings.domain}
+        , node{settings.cell, self, settings.lease, run, clock_now()}
+        , store{settings.store_address, settings.instance} {}
+
+    cell_member self;
+    cell_node node;
+    store_client store;
+    QTimer timer;
+    std::shared_ptr<const config_state> config;
+    std::map<account_id, accountant> accountants;
+    std::map<role_id, epoch_number> held;
+    std::set<role_id> roles; ///< of this cell
+    std::vector<listed_instance> listed;
+    std::uint64_t seen_record = 0;
+    std::size_t seen_live = 0;
+    time_point next_listing;
+    time_point next_store_read;
+    time_point next_standby;
+    time_point store_read_at; ///< request time of the last successful read of the configuration
+    std::uint64_t store_version = 0;
+    bool watching = false;
+    bool fetching = false;
+    bool leaving = false;
+    bool dirty = true; ///< the view must be published
+};
+
+control_plane::control_plane(const process_settings& settings, incarnation run, peer_rpc*& peers,
+                             std::vector<std::unique_ptr<holder_shard>>& shards, event_sink events,
+                             std::function<hybrid_time()> stamp)
+    : settings_{settings}
+    , run_{run}
+    , peers_{peers}
+    , shards_{shards}
+    , events_{std::move(events)}
+    , stamp_{std::move(stamp)}
+    , view_{std::make_shared<const control_view>()}
+    , thread_{"control"} {}
+
+control_plane::~control_plane() {
+    stop();
+}
+
+auto control_plane::start(std::function<void()> on_change) -> void {
+    on_change_ = std::move(on_change);
+    thread_.run([this] {
+        parts_ = std::make_unique<parts>(settings_, run_);
+        QObject::connect(&parts_->timer, &QTimer::timeout, &parts_->timer, [this] { on_timer(); });
+        parts_->timer.start(timer_interval_ms);
+        on_timer();
+    });
+}
+
+auto control_plane::stop() -> void {
+    if (parts_) {
+        thread_.run([this] { parts_.reset(); });
+    }
+    thread_.stop();
+}
+
+auto control_plane::view() const -> std::shared_ptr<const control_view> {
+    const auto lock = std::lock_guard{guard_};
+    return view_;
+}
+
+auto control_plane::authority_until() const -> time_point {
+    return time_point{duration{authority_until_.load()}};
+}
+
+auto control_plane::config_current_until() const -> time_point {
+    return time_point{duration{config_until_.load()}};
+}
+
+auto control_plane::locate(const role_id& role) const -> std::optional<role_location> {
+    const auto now = view();
+    const auto it = now->roles.find(role);
+    return it == now->roles.end() ? std::nullopt : std::optional{it->second};
+}
+
+auto control_plane::on_timer() -> void {
+    const auto now = clock_now();
+    parts_->node.on_timer(now);
+    if (now >= parts_->next_listing) {
+        parts_->next_listing = now + listing_interval;
+        refresh_listing();
+    }
+    spread_config();
+    if (now >= parts_->next_standby) {
+        parts_->next_standby = now + standby_interval;
+        apply_roles();
+    }
+    after_event();
+}
+
+auto control_plane::after_event() -> void {
+    auto& it = *parts_;
+    for (auto actions = it.node.take_actions(); !actions.empty(); actions = it.node.take_actions()) {
+        for (const auto& action : actions) {
+            perform(action);
+        }
+    }
+    const auto now = clock_now();
+    const auto authority = it.node.authority_until();
+    authority_until_ = since_epoch(authority);
+    const auto majority = it.node.has_majority(now);
+    majority_ = majority;
+    const auto own_version = it.config ? it.config->config.version : 0;
+    auto current = time_point{};
+    if (majority && own_version > 0 && own_version >= it.node.heard_config_version()) {
+        current = now + judgement_life;
+    }
+    if (own_version > 0 && own_version >= it.store_version && it.store_read_at != time_point{}) {
+        current = std::max(current, std::min(it.store_read_at + store_evidence, now + judgement_life));
+    }
+    config_until_ = since_epoch(current);
+    handed_over_ = it.leaving && it.node.handed_over();
+    const auto live = it.node.live_members(now).size();
+    const auto record = it.node.record().version;
+    if (it.dirty || live != it.seen_live || record != it.seen_record) {
+        it.seen_live = live;
+        it.seen_record = record;
+        it.dirty = false;
+        publish();
+    }
+}
+
+auto control_plane::perform(const cell_action& action) -> void {
+    auto& it = *parts_;
+    if (const auto* get = std::get_if<store_get>(&action)) {
+        it.store.get(get->key, [this, call = get->call](store_reply reply) {
+            parts_->node.on_store_reply(clock_now(), call, std::move(reply));
+            after_event();
+        });
+    } else if (const auto* put = std::get_if<store_put>(&action)) {
+        it.store.put(put->key, put->value, put->expected_version, [this, call = put->call](store_reply reply) {
+            parts_->node.on_store_reply(clock_now(), call, std::move(reply));
+            after_event();
+        });
+    } else if (const auto* send = std::get_if<send_peer>(&action)) {
+        peers_->send_cell(send->address, send->message, stamp_());
+    } else if (const auto* gained = std::get_if<role_gained>(&action)) {
+        role_changed(*gained);
+    } else if (const auto* lost = std::get_if<role_lost>(&action)) {
+        role_changed(*lost);
+    } else if (const auto* event = std::get_if<cell_event>(&action)) {
+        events_("", event->kind, event->detail);
+    }
+}
+
+auto control_plane::settings_of(const database_id& database) const -> std::optional<database_settings> {
+    if (!parts_->config) {
+        return std::nullopt;
+    }
+    const auto& rules = parts_->config->config.rules;
+    const auto rule = rules.databases.find(database);
+    if (rule == rules.databases.end()) {
+        return std::nullopt;
+    }
+    auto settings = database_settings{};
+    settings.database = database;
+    settings.members = rule->second.members;
+    settings.member_domains = rule->second.domains;
+    settings.slots = rule->second.slots;
+    settings.connections = rule->second.connections;
+    settings.read_policy = settings_.read_policy;
+    settings.queue_policy = settings_.queue_policy;
+    settings.promotion_policy = settings_.promotion_policy;
+    for (const auto& member : settings.members) {
+        if (rules.leaves.contains(member)) {
+            settings.leaving.push_back(member);
+        }
+    }
+    return settings;
+}
+
+auto control_plane::shard_of(const database_id& database) -> holder_shard& {
+    return *shards_[shard_index(database, shards_.size())];
+}
+
+auto control_plane::role_changed(const role_gained& role) -> void {
+    auto& it = *parts_;
+    it.held[role.role] = role.epoch;
+    it.dirty = true;
+    events_(role.role.name, "role-gained",
+            fmt::format("{} {} epoch {}", name_of(role.role.kind), role.role.name, role.epoch));
+    if (role.role.kind == role_kind::account) {
+        const auto account = account_id{role.role.name};
+        const auto& limits = it.config->config.rules.limits;
+        const auto limit = limits.find(account);
+        it.accountants.insert_or_assign(
+            account, accountant{limit == limits.end() ? rate_limit{} : limit->second.limit, clock_now()});
+        return;
+    }
+    const auto database = database_id{role.role.name};
+    if (const auto settings = settings_of(database)) {
+        shard_of(database).hold(*settings, role.epoch, it.node.authority_until());
+    }
+}
+
+auto control_plane::role_changed(const role_lost& role) -> void {
+    auto& it = *parts_;
+    it.held.erase(role.role);
+    it.dirty = true;
+    events_(role.role.name, "role-lost",
+            fmt::format("{} {} epoch {}", name_of(role.role.kind), role.role.name, role.epoch));
+    if (role.role.kind == role_kind::account) {
+        it.accountants.erase(account_id{role.role.name});
+        return;
+    }
+    const auto database = database_id{role.role.name};
+    shard_of(database).release(database);
+}
+
+auto control_plane::take_config(configuration config) -> bool {
+    auto& it = *parts_;
+    if (it.config && it.config->config.version >= config.version) {
+        return false;
+    }
+    auto state = std::make_shared<config_state>();
+    state->text = to_json(config);
+    state->keys = key_ring{config.keys};
+    state->config = std::move(config);
+    const auto before = it.config;
+    it.config = state;
+    it.dirty = true;
+    it.node.set_config_version(state->config.version);
+    if (before) {
+        for (const auto& key : before->config.keys) {
+            if (before->keys.is_valid(key.id) && !state->keys.is_valid(key.id)) {
+                for (auto& shard : shards_) {
+                    shard->revoke(key.id);
+                }
+            }
+        }
+    }
+    auto roles = std::vector<role_id>{};
+    for (const auto& [name, rule] : state->config.rules.databases) {
+        if (rule.cell == settings_.cell) {
+            roles.push_back({role_kind::database, name.value});
+        }
+    }
+    for (const auto& [name, rule] : state->config.rules.limits) {
+        if (cell_of_account(name, state->config.rules) == settings_.cell) {
+            roles.push_back({role_kind::account, name.value});
+        }
+        const auto found = it.accountants.find(name);
+        if (found != it.accountants.end()) {
+            found->second.set_limit(clock_now(), rule.limit);
+        }
+    }
+    it.roles = std::set<role_id>{roles.begin(), roles.end()};
+    it.node.set_roles(clock_now(), std::move(roles));
+    for (const auto& [role, epoch] : it.held) {
+        if (role.kind == role_kind::database) {
+            if (const auto settings = settings_of(database_id{role.name})) {
+                shard_of(settings->database).hold(*settings, epoch, it.node.authority_until());
+            }
+        }
+    }
+    events_("", "configuration", fmt::format("version {} is in force", state->config.version));
+    return true;
+}
+
+auto control_plane::apply_roles() -> void {
+    auto& it = *parts_;
+    auto standby = std::vector<std::vector<database_settings>>(shards_.size());
+    for (const auto& role : it.roles) {
+        if (role.kind == role_kind::database && it.node.is_standby(role)) {
+            if (auto settings = settings_of(database_id{role.name})) {
+                standby[shard_index(settings->database, shards_.size())].push_back(std::move(*settings));
+            }
+        }
+    }
+    for (auto n = std::size_t{0}; n < shards_.size(); ++n) {
+        shards_[n]->set_standby(standby[n]);
+    }
+}
+
+auto control_plane::spread_config() -> void {
+    auto& it = *parts_;
+    const auto now = clock_now();
+    const auto own_version = it.config ? it.config->config.version : 0;
+    auto live = it.node.live_members(now);
+    std::sort(live.begin(), live.end(), [](const auto& a, const auto& b) { return a.instance < b.instance; });
+    const auto position = std::find_if(live.begin(), live.end(),
+                                       [&](const auto& member) { return member.instance == settings_.instance; });
+    const auto is_relay =
+        position == live.end() || static_cast<std::size_t>(position - live.begin()) < relays_per_cell;
+    auto parse = [this](const store_reply& reply) {
+        auto parsed = parse_configuration(reply.value, reply.version);
+        if (auto* config = std::get_if<configuration>(&parsed)) {
+            take_config(std::move(*config));
+        }
+    };
+    if ((own_version == 0 || !it.node.has_majority(now)) && now >= it.next_store_read) {
+        it.next_store_read = now + store_read_interval;
+        it.store.get(config_key, [this, now, parse](const store_reply& reply) {
+            if (reply.status == store_status::ok) {
+                parts_->store_read_at = now;
+                parts_->store_version = reply.version;
+                parse(reply);
+                after_event();
+            }
+        });
+    }
+    if (is_relay && own_version > 0 && !it.watching) {
+        it.watching = true;
+        it.store.watch(config_key, own_version, watch_wait, [this, parse](const store_reply& reply) {
+            if (reply.status == store_status::ok) {
+                parse(reply);
+                after_event();
+            }
+            if (reply.status == store_status::unavailable) {
+                QTimer::singleShot(500, &parts_->timer, [this] { parts_->watching = false; });
+            } else {
+                parts_->watching = false;
+            }
+        });
+    }
+    if (it.node.heard_config_version() > own_version && !it.fetching) {
+        for (const auto& member : live) {
+            if (member.instance == settings_.instance) {
+                continue;
+            }
+            it.fetching = true;
+            peers_->fetch_config(member.peer_address, own_version, [this](std::optional<config_reply> reply) {
+                thread_.post([this, reply = std::move(reply)] {
+                    parts_->fetching = false;
+                    if (reply && reply->version > 0) {
+                        auto parsed = parse_configuration(reply->text, reply->version);
+                        if (auto* config = std::get_if<configuration>(&parsed)) {
+                            take_config(std::move(*config));
+                            after_event();
+                        }
+                    }
+                });
+            });
+            break;
+        }
+    }
+}
+
+auto control_plane::refresh_listing() -> void {
+    auto& it = *parts_;
+    const auto self = listed_instance{settings_.instance, settings_.cell,    settings_.peer_address,
+                                      settings_.admin_address, settings_.domain, it.leaving};
+    it.store.announce(self, [](bool) {});
+    it.store.instances([this](std::optional<std::vector<listed_instance>> list) {
+        if (list) {
+            parts_->listed = *list;
+            parts_->node.on_instance_list(clock_now(), *list);
+            after_event();
+        }
+    });
+}
+
+auto control_plane::publish() -> void {
+    auto& it = *parts_;
+    auto next = std::make_shared<control_view>();
+    next->config = it.config;
+    for (const auto& role : it.roles) {
+        if (auto location = it.node.locate(role)) {
+            next->roles.emplace(role, std::move(*location));
+        }
+    }
+    next->live_instances = static_cast<std::uint32_t>(std::max<std::size_t>(1, it.seen_live));
+    next->serving = it.config != nullptr;
+    next->leaving = it.leaving;
+    {
+        const auto lock = std::lock_guard{guard_};
+        view_ = std::move(next);
+    }
+    on_change_();
+}
+
+auto control_plane::on_peer_message(peer_message message) -> void {
+    thread_.post([this, message = std::move(message)] {
+        if (parts_) {
+            parts_->node.on_peer_message(clock_now(), message);
+            after_event();
+        }
+    });
+}
+
+auto control_plane::take_grant(const account_id& account, std::uint32_t wanted,
+                               std::function<void(grant_reply)> done) -> void {
+    thread_.post([this, account, wanted, done = std::move(done)] {
+        const auto now = clock_now();
+        const auto found = parts_ ? parts_->accountants.find(account) : decltype(parts_->accountants.find(account)){};
+        if (!parts_ || found == parts_->accountants.end() || parts_->node.authority_until() <= now) {
+            done(grant_reply{});
+            return;
+        }
+        const auto tokens = found->second.take(now, wanted);
+        done(grant_reply{true, tokens, tokens > 0 ? duration{} : found->second.wait_for_token(now)});
+    });
+}
+
+auto control_plane::give_back(const account_id& account, std::uint32_t tokens, duration age) -> void {
+    thread_.post([this, account, tokens, age] {
+        if (!parts_) {
+            return;
+        }
+        const auto found = parts_->accountants.find(account);
+        if (found != parts_->accountants.end()) {
+            const auto now = clock_now();
+            found->second.give_back(now, now - age, tokens);
+        }
+    });
+}
+
+auto control_plane::announce_leaving() -> void {
+    thread_.post([this] {
+        parts_->leaving = true;
+        parts_->dirty = true;
+        refresh_listing();
+        after_event();
+    });
+}
+
+auto control_plane::hand_over() -> void {
+    thread_.post([this] {
+        parts_->node.start_leave(clock_now());
+        after_event();
+    });
+}
+
+auto control_plane::status(std::function<void(control_status)> done) -> void {
+    thread_.post([this, done = std::move(done)] {
+        auto& it = *parts_;
+        const auto now = clock_now();
+        auto found = control_status{};
+        found.authority = it.node.authority_until() > now;
+        found.majority = it.node.has_majority(now);
+        found.store_answers = it.store.answers();
+        found.record_version = it.node.record().version;
+        for (const auto& [name, member] : it.node.record().members) {
+            found.table.push_back(member);
+        }
+        for (const auto& member : it.node.live_members(now)) {
+            found.live.push_back(member.instance);
+        }
+        for (const auto& role : it.roles) {
+            if (it.node.is_standby(role)) {
+                found.standby_for.push_back(role);
+            }
+        }
+        for (const auto& [account, bucket] : it.accountants) {
+            found.accounts.push_back(account);
+        }
+        found.listed = it.listed;
+        found.store_calls = it.store.calls();
+        done(std::move(found));
+    });
+}
+
+auto control_plane::read_config(std::function<void(result<configuration>)> done) -> void {
+    thread_.post([this, done = std::move(done)] {
+        parts_->store.get(config_key, [this, done, asked = clock_now()](const store_reply& reply) {
+            if (reply.status == store_status::not_found) {
+                done(initial_configuration());
+                return;
+            }
+            if (reply.status != store_status::ok) {
+                done(failure{failure_code::store_unavailable, "the platform store does not answer", 1s});
+                return;
+            }
+            auto parsed = parse_configuration(reply.value, reply.version);
+            if (auto* config = std::get_if<configuration>(&parsed)) {
+                parts_->store_read_at = asked;
+                parts_->store_version = reply.version;
+                take_config(*config);
+                after_event();
+            }
+            done(std::move(parsed));
+        });
+    });
+}
+
+auto control_plane::write_config(const configuration& config, std::uint64_t expected_version,
+                                 std::function<void(result<std::uint64_t>)> done) -> void {
+    thread_.post([this, config, expected_version, done = std::move(done)] {
+        parts_->store.put(config_key, to_json(config), expected_version, [this, config, done](const store_reply& reply) {
+            switch (reply.status) {
+            case store_status::ok: {
+                auto written = config;
+                written.version = reply.version;
+                take_config(std::move(written));
+                after_event();
+                done(reply.version);
+                return;
+            }
+            case store_status::conflict:
+            case store_status::not_found:
+                done(failure{failure_code::conflict, "the configuration was changed in the meantime", {}});
+                return;
+            case store_status::unavailable:
+                done(failure{failure_code::store_unavailable,
+                             "the platform store did not answer; the change may have taken effect", 1s});
+                return;
+            }
+        });
+    });
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/citronlugd/entry.cpp
@@ -0,0 +1,484 @@
+#include "entry.h"
+
+#include <citronlug/plugin.h>
+#include <citronlug/session_token.h>
+
+#include <fmt/format.h>
+#include <sodium.h>
+
+namespace citronlug {
+
+namespace {
+
+constexpr auto timer_interval_ms = 25;
+constexpr auto session_life_s = std::int64_t{24} * 3600;
+constexpr auto transaction_life_s = std::int64_t{3600};
+/// The holder answers at the deadline; its answer needs this time to arrive.
+constexpr auto answer_grace = 150ms;
+/// A request that found no holder asks again after this time, or at once when the roles change.
+constexpr auto retry_interval = 100ms;
+constexpr auto max_waiting_per_account = std::size_t{5000};
+
+/// Secret for transaction ids, so that a session token is never accepted as one.
+auto transaction_secret(const std::string& secret) -> std::string {
+    return secret + "/transaction";
+}
+
+auto database_role(const database_id& database) -> role_id {
+    return {role_kind::database, database.value};
+}
+
+} // namespace
+
+struct entry::call {
+    request work;
+    std::shared_ptr<http_exchange> exchange;
+    std::string session; ///< as the caller sent it
+    std::string token_secret;
+    bool keyed = false;
+    bool sent = false; ///< a holder has it now
+    bool finished = false;
+    std::string sent_to; ///< peer address; empty: this instance
+    time_point received;
+    time_point attempted;
+    epoch_number attempted_epoch = 0;
+};
+
+entry::entry(const process_settings& settings, control_plane& control,
+             std::vector<std::unique_ptr<holder_shard>>& shards, peer_rpc& peers, metrics& counters, event_sink events)
+    : self_{settings.instance}
+    , domain_{settings.domain}
+    , limit_policy_{settings.limit_policy}
+    , control_{control}
+    , shards_{shards}
+    , peers_{peers}
+    , counters_{counters}
+    , events_{std::move(events)}
+    , view_{control.view()} {
+    QObject::connect(&timer_, &QTimer::timeout, &queue_, [this] { on_timer(); });
+    timer_.start(timer_interval_ms);
+}
+
+entry::~entry() = default;
+
+auto entry::knows_key(const QByteArray& authorization) const -> bool {
+    return view_->config && succeeded(view_->config->keys.check(bearer_key(authorization)));
+}
+
+auto entry::health(http_exchange& exchange) -> void {
+    const auto now = clock_now();
+    const auto serving = view_->serving && !view_->leaving && !refusing_ && control_.config_current_until() > now;
+    const auto* text = view_->leaving || refusing_ ? "leaving" : serving ? "serving" : "no current configuration";
+    exchange.reply(serving ? 200 : 503, QByteArray{"{\"status\":\""} + text + "\"}");
+}
+
+auto entry::handle(const http_request& incoming, std::shared_ptr<http_exchange> exchange) -> void {
+    if (incoming.method == "GET" && incoming.path == "/healthz") {
+        health(*exchange);
+        return;
+    }
+    auto it = std::make_shared<call>();
+    it->exchange = std::move(exchange);
+    it->received = clock_now();
+    calls_.emplace(it.get(), it);
+    if (auto fault = prepare(incoming, *it)) {
+        refuse(it, std::move(*fault));
+        return;
+    }
+    admit(it);
+}
+
+auto entry::prepare(const http_request& incoming, call& it) -> std::optional<failure> {
+    if (refusing_) {
+        return failure{failure_code::shutting_down, "this instance is leaving; use another one", {}};
+    }
+    if (incoming.method != "POST") {
+        return failure{failure_code::bad_request, "only POST is accepted here", {}};
+    }
+    auto target = parse_target(incoming.path);
+    if (auto* error = std::get_if<failure>(&target)) {
+        return *error;
+    }
+    auto& to = std::get<caller_target>(target);
+    if (!view_->serving || !view_->config) {
+        return failure{failure_code::no_authority, "this instance has no configuration yet", 500ms};
+    }
+    const auto& config = view_->config->config;
+    it.token_secret = config.token_secret;
+    if (!incoming.authorization.isEmpty()) {
+        auto key = view_->config->keys.check(bearer_key(incoming.authorization));
+        if (auto* error = std::get_if<failure>(&key)) {
+            return *error;
+        }
+        it.keyed = true;
+        it.work.account = std::get<key_entry>(key).account;
+        it.work.key = std::get<key_entry>(key).id;
+    }
+    auto& work = it.work;
+    work.step = to.step;
+    if (!to.transaction.empty()) {
+        const auto opened =
+            open_token(to.transaction, transaction_secret(it.token_secret), work.account, wall_seconds());
+        if (!succeeded(opened)) {
+            return failure{it.keyed ? failure_code::no_route : failure_code::unauthorised,
+                           "there is no such transaction of this client account", {}};
+        }
+        const auto& token = std::get<session_token>(opened);
+        to.route = route_id{token.database.value};
+        work.transaction = transaction_id{token.at.term, token.at.log};
+    }
+    const auto route = config.rules.routes.find(to.route);
+    if (route == config.rules.routes.end()) {
+        return failure{it.keyed ? failure_code::no_route : failure_code::unauthorised,
+                       it.keyed ? "there is no such route" : "this path needs a key", {}};
+    }
+    if (!it.keyed && !route->second.open) {
+        return failure{failure_code::unauthorised, "this route needs a key in the header Authorization", {}};
+    }
+    if (it.keyed && control_.config_current_until() <= it.received) {
+        return failure{failure_code::no_authority, "this instance cannot tell whether keys are still valid", 500ms};
+    }
+    auto parsed = parse_body(incoming.body, to.step);
+    if (auto* error = std::get_if<failure>(&parsed)) {
+        return *error;
+    }
+    auto& body = std::get<caller_body>(parsed);
+    work.route = to.route;
+    work.database = route->second.database;
+    work.mode = route->second.mode;
+    work.idempotent = route->second.idempotent;
+    work.ack = route->second.ack;
+    work.deadline = it.received + body.deadline;
+    work.body = std::move(body.body);
+    work.entry_domain = domain_;
+    if (work.mode == access_mode::read && route->second.max_age) {
+        work.max_age = body.max_age ? std::min(*body.max_age, *route->second.max_age) : route->second.max_age;
+    }
+    if (body.request.empty()) {
+        if (work.mode == access_mode::write && work.step == transaction_step::none) {
+            return failure{failure_code::bad_request, "request_id is missing; a write needs one", {}};
+        }
+        body.request = fmt::format("{}-{:x}-{}", self_.value, randombytes_random(), ++generated_);
+    }
+    work.id = request_id{std::move(body.request)};
+    if (!body.session.empty()) {
+        const auto opened = open_token(body.session, it.token_secret, work.account, wall_seconds());
+        if (const auto* error = std::get_if<failure>(&opened)) {
+            return *error;
+        }
+        const auto& token = std::get<session_token>(opened);
+        if (token.database != work.database) {
+            return failure{failure_code::invalid_token, "the session belongs to another database", {}};
+        }
+        work.session = token.at;
+        it.session = std::move(body.session);
+    }
+    return std::nullopt;
+}
+
+auto entry::state_of(const account_id& account) -> account_state* {
+    const auto& limits = view_->config->config.rules.limits;
+    const auto rule = limits.find(account);
+    if (rule == limits.end()) {
+        return nullptr;
+    }
+    auto& state = accounts_[account];
+    if (!state.policy) {
+        state.policy = plugin_registry<limit_policy>::make(limit_policy_);
+    }
+    if (state.limit != rule->second.limit || state.instances != view_->live_instances) {
+        state.limit = rule->second.limit;
+        state.instances = view_->live_instances;
+        state.policy->set_limit(clock_now(), state.limit, state.instances);
+    }
+    return &state;
+}
+
+auto entry::admit(const call_pointer& it) -> void {
+    // Ending a transaction takes no token: it frees resources.
+    const auto ends = it->work.step == transaction_step::commit || it->work.step == transaction_step::rollback;
+    auto* state = ends ? nullptr : state_of(it->work.account);
+    if (state == nullptr) {
+        dispatch(it);
+        return;
+    }
+    if (state->waiting.size() >= max_waiting_per_account) {
+        refuse(it, failure{failure_code::rate_limited, "too many requests of the client account are waiting", 1s});
+        return;
+    }
+    state->waiting.push_back(it);
+    pump(it->work.account, *state);
+}
+
+auto entry::pump(const account_id& account, account_state& state) -> void {
+    const auto now = clock_now();
+    auto wants_tokens = false;
+    auto blocked = false;
+    while (!state.waiting.empty() && !blocked) {
+        const auto it = state.waiting.front();
+        if (it->finished) {
+            state.waiting.pop_front();
+            continue;
+        }
+        if (now >= it->work.deadline) {
+            state.waiting.pop_front();
+            refuse(it, failure{failure_code::rate_limited, "no token of the rate limit within the deadline", 500ms});
+            continue;
+        }
+        switch (state.policy->admit(now, it->work.deadline)) {
+        case admission::admitted:
+            state.waiting.pop_front();
+            dispatch(it);
+            break;
+        case admission::refused:
+            state.waiting.pop_front();
+            refuse(it, failure{failure_code::rate_limited, "the client account is over its rate", 1s});
+            break;
+        case admission::ask:
+            wants_tokens = true;
+            blocked = true;
+            break;
+        case admission::wait: blocked = true; break;
+        }
+    }
+    if (wants_tokens && !state.asking && now >= state.next_question) {
+        ask(account, state);
+    }
+}
+
+auto entry::ask(const account_id& account, account_state& state) -> void {
+    const auto now = clock_now();
+    const auto wanted = state.policy->ask_size(now);
+    if (wanted == 0) {
+        return;
+    }
+    const auto location = control_.locate(role_id{role_kind::account, account.value});
+    if (!location) {
+        state.policy->on_grant_failed(now);
+        state.next_question = now + retry_interval;
+        return;
+    }
+    state.asking = true;
+    state.asked_at = now;
+    const auto deadline = now + grant_life;
+    if (location->holder == self_) {
+        control_.take_grant(account, wanted, [this, account, now](grant_reply reply) {
+            queue_.post([this, account, now, reply] { on_grant(account, now, reply); });
+        });
+        return;
+    }
+    peers_.take_grant(location->peer_address, account, wanted, deadline,
+                      [this, account, now](std::optional<grant_reply> reply) {
+                          queue_.post([this, account, now, reply] { on_grant(account, now, reply); });
+                      });
+}
+
+auto entry::on_grant(const account_id& account, time_point asked_at, std::optional<grant_reply> reply) -> void {
+    const auto found = accounts_.find(account);
+    if (found == accounts_.end()) {
+        return;
+    }
+    auto& state = found->second;
+    const auto now = clock_now();
+    state.asking = false;
+    if (reply && reply->held) {
+        state.policy->on_grant(now, asked_at, reply->tokens, reply->wait);
+    } else {
+        state.policy->on_grant_failed(now);
+        state.next_question = now + retry_interval / 2;
+    }
+    pump(account, state);
+}
+
+auto entry::dispatch(const call_pointer& it) -> void {
+    const auto now = clock_now();
+    auto& work = it->work;
+    if (it->keyed) {
+        if (control_.config_current_until() <= now) {
+            refuse(it, failure{failure_code::no_authority, "this instance cannot tell whether keys are still valid",
+                               500ms});
+            return;
+        }
+        if (!view_->config->keys.is_valid(work.key)) {
+            refuse(it, failure{failure_code::unauthorised, "the key is not valid", {}});
+            return;
+        }
+    }
+    const auto location = control_.locate(database_role(work.database));
+    if (!location) {
+        retry_later(it);
+        return;
+    }
+    it->attempted = now;
+    it->attempted_epoch = location->epoch;
+    it->sent = true;
+    if (location->holder == self_) {
+        it->sent_to.clear();
+        shards_[shard_index(work.database, shards_.size())]->execute(
+            work, [this, it](answer value, epoch_number epoch) {
+                auto carried = std::make_shared<answer>(std::move(value));
+                queue_.post([this, it, carried, epoch] { on_reply(it, std::pair{std::move(*carried), epoch}); });
+            });
+        return;
+    }
+    it->sent_to = location->peer_address;
+    peers_.execute(location->peer_address, work, [this, it](execute_reply reply) {
+        auto carried = std::make_shared<execute_reply>(std::move(reply));
+        queue_.post([this, it, carried] { on_reply(it, std::move(*carried)); });
+    });
+}
+
+auto entry::on_reply(const call_pointer& it, execute_reply reply) -> void {
+    if (it->finished) {
+        return;
+    }
+    it->sent = false;
+    const auto& work = it->work;
+    const auto starts_fresh = work.step == transaction_step::none || work.step == transaction_step::begin;
+    const auto has_no_effect = starts_fresh && (work.mode == access_mode::read || work.step == transaction_step::begin);
+    if (const auto* why = std::get_if<call_failure>(&reply)) {
+        if (*why == call_failure::not_sent ? starts_fresh : has_no_effect) {
+            retry_later(it);
+        } else if (*why == call_failure::not_sent) {
+            refuse(it, failure{failure_code::no_authority, "the holder of the transaction is not reachable", {}});
+        } else {
+            refuse(it, failure{failure_code::connection_lost,
+                               "the connection to the holder failed; ask again with the same request id", 500ms},
+                   verdict::unknown);
+        }
+        return;
+    }
+    auto& [value, epoch] = std::get<std::pair<answer, epoch_number>>(reply);
+    if (value.outcome == verdict::not_run && value.error && value.error->code == failure_code::not_holder) {
+        if (starts_fresh) {
+            retry_later(it);
+            return;
+        }
+        value.error = failure{failure_code::transaction_ended, "the holder of the transaction has changed", {}};
+    }
+    if (value.outcome == verdict::done && work.mode == access_mode::write) {
+        const auto location = control_.locate(database_role(work.database));
+        if (location && location->epoch > epoch) {
+            refuse(it, failure{failure_code::no_authority,
+                               "the holder changed while the request ran; ask again with the same request id", 500ms},
+                   verdict::unknown);
+            return;
+        }
+    }
+    finish(it, std::move(value));
+}
+
+auto entry::retry_later(const call_pointer& it) -> void {
+    it->sent = false;
+    it->attempted = clock_now();
+    if (it->attempted >= it->work.deadline) {
+        refuse(it, failure{failure_code::no_authority, "the database has no reachable holder at present", 1s});
+        return;
+    }
+    retrying_.push_back(it);
+}
+
+auto entry::refuse(const call_pointer& it, failure why, verdict outcome) -> void {
+    auto value = answer{};
+    value.outcome = outcome;
+    value.error = std::move(why);
+    finish(it, std::move(value));
+}
+
+auto entry::finish(const call_pointer& it, answer value) -> void {
+    if (it->finished) {
+        return;
+    }
+    it->finished = true;
+    calls_.erase(it.get());
+    auto session = it->session;
+    if (value.reached != position{} && !it->token_secret.empty()) {
+        auto at = value.reached;
+        if (it->work.session && value.outcome != verdict::done) {
+            at = std::max(at, *it->work.session);
+        }
+        session = seal(session_token{it->work.account, it->work.database, at, wall_seconds() + session_life_s},
+                       it->token_secret);
+    }
+    auto transaction = std::string{};
+    if (value.outcome == verdict::done && it->work.step == transaction_step::begin) {
+        // The token's database names the route here; account and expiry have their usual meaning.
+        transaction =
+            seal(session_token{it->work.account, database_id{it->work.route.value},
+                               position{value.transaction.epoch, value.transaction.number},
+                               wall_seconds() + transaction_life_s},
+                 transaction_secret(it->token_secret));
+    }
+    const auto retry = value.error ? value.error->retry_after : duration{};
+    it->exchange->reply(http_status(value), format_answer(value, session, transaction), "application/json", retry);
+    counters_.count("citronlug_requests_total", {{"outcome", std::string{name_of(value.outcome)}}});
+    counters_.observe("citronlug_request_seconds", {}, clock_now() - it->received);
+    if (value.outcome == verdict::unknown) {
+        events_(it->work.database.value, "outcome-unknown",
+                fmt::format("account={} request={}", it->work.account.value, it->work.id.value));
+    }
+}
+
+auto entry::on_change() -> void {
+    queue_.post([this] {
+        view_ = control_.view();
+        for (auto& [account, state] : accounts_) {
+            state_of(account);
+            if (state.policy) {
+                pump(account, state);
+            }
+        }
+        auto waiting = std::vector<call_pointer>{};
+        waiting.swap(retrying_);
+        for (const auto& it : waiting) {
+            if (!it->finished) {
+                dispatch(it);
+            }
+        }
+    });
+}
+
+auto entry::on_timer() -> void {
+    const auto now = clock_now();
+    for (auto& [account, state] : accounts_) {
+        if (!state.waiting.empty()) {
+            pump(account, state);
+        }
+    }
+    auto waiting = std::vector<call_pointer>{};
+    waiting.swap(retrying_);
+    for (const auto& it : waiting) {
+        if (it->finished) {
+            continue;
+        }
+        if (now - it->attempted >= retry_interval || now >= it->work.deadline) {
+            if (now >= it->work.deadline) {
+                refuse(it, failure{failure_code::no_authority, "the database has no reachable holder at present", 1s});
+            } else {
+                dispatch(it);
+            }
+        } else {
+            retrying_.push_back(it);
+        }
+    }
+    auto ended = std::vector<call_pointer>{};
+    for (const auto& [key, it] : calls_) {
+        if (!it->exchange->connected() || now > it->work.deadline + answer_grace) {
+            ended.push_back(it);
+        }
+    }
+    for (const auto& it : ended) {
+        const auto sent = it->sent;
+        if (sent && it->sent_to.empty()) {
+            shards_[shard_index(it->work.database, shards_.size())]->cancel(it->work.database, it->work.account,
+                                                                            it->work.id);
+        } else if (sent) {
+            peers_.cancel(it->sent_to, it->work.database, it->work.account, it->work.id);
+        }
+        const auto harmless = !sent || (it->work.mode == access_mode::read && it->work.step == transaction_step::none);
+        refuse(it, failure{failure_code::deadline_exceeded, "no answer within the deadline", 500ms},
+               harmless ? verdict::not_run : verdict::unknown);
+    }
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/citronlugd/main.cpp
@@ -0,0 +1,1 @@
+auto main() -> int { return 0; }
--- a/src/citronlugd/peer.capnp
+++ b/src/citronlugd/peer.capnp
@@ -115,6 +115,25 @@
   holderEpoch @16 :UInt64; # epoch under which the holder answered
 }
 
+struct Event {
+  wallUs @0 :Int64;
+  counter @1 :UInt32;
+  instance @2 :Text;
+  kind @3 :Text;
+  detail @4 :Text;
+  database @5 :Text;
+  account @6 :Text;
+  request @7 :Text;
+}
+
+struct EventFilter {
+  database @0 :Text;
+  account @1 :Text;
+  request @2 :Text;
+  sinceUs @3 :Int64;
+  limit @4 :UInt32;
+}
+
 # What a connection offers before it is authenticated.
 interface Gate {
   # Random bytes for the proof of this connection.
@@ -124,7 +143,8 @@
 }
 
 interface Peer {
-  cellMessage @0 (message :CellMessage);
+  # The sender's time of its hybrid logical clock goes with the message.
+  cellMessage @0 (message :CellMessage, wallUs :Int64, counter :UInt32, sender :Text);
   execute @1 (request :Request) -> (answer :Answer);
   takeGrant @2 (account :Text, wanted :UInt32, remainingUs :Int64)
       -> (held :Bool, tokens :UInt32, waitUs :Int64);
@@ -132,7 +152,7 @@
   fetchConfig @4 (version :UInt64) -> (version :UInt64, text :Text);
   locate @5 (kind :UInt8, name :Text)
       -> (found :Bool, instance :Text, address :Text, epoch :UInt64);
-  timeline @6 (limit :UInt32) -> (lines :List(Text));
-  ping @7 ();
-  cancel @8 (request :Text, database :Text);
+  timeline @6 (filter :EventFilter) -> (events :List(Event));
+  ping @7 () -> (configVersion :UInt64);
+  cancel @8 (database :Text, account :Text, request :Text);
 }
--- a/src/citronlugd/peer.capnp.h
+++ b/src/citronlugd/peer.capnp.h
@@ -30,6 +30,8 @@
 CAPNP_DECLARE_SCHEMA(95eaf1f57800bebe);
 CAPNP_DECLARE_SCHEMA(f91dda53ac3ae979);
 CAPNP_DECLARE_SCHEMA(fa9ac223e77d7b5a);
+CAPNP_DECLARE_SCHEMA(ca2b7f6d848dea45);
+CAPNP_DECLARE_SCHEMA(a8a66579f9bb491a);
 CAPNP_DECLARE_SCHEMA(be62c75be6c6eb28);
 CAPNP_DECLARE_SCHEMA(8a41728df639fc6f);
 CAPNP_DECLARE_SCHEMA(c22fb193b1ef8685);
@@ -240,6 +242,36 @@
   };
 };
 
+struct Event {
+  Event() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ca2b7f6d848dea45, 2, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EventFilter {
+  EventFilter() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a8a66579f9bb491a, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -364,7 +396,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(819eefabff116200, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(819eefabff116200, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -544,7 +576,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5de8eadfeec7167, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c5de8eadfeec7167, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -589,7 +621,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c70e58f6073e2e9a, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c70e58f6073e2e9a, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -604,7 +636,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cfc76e0cac2c2c2e, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(cfc76e0cac2c2c2e, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1951,6 +1983,258 @@
 };
 #endif  // !CAPNP_LITE
 
+class Event::Reader {
+public:
+  typedef Event Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWallUs() const;
+
+  inline  ::uint32_t getCounter() const;
+
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline bool hasKind() const;
+  inline  ::capnp::Text::Reader getKind() const;
+
+  inline bool hasDetail() const;
+  inline  ::capnp::Text::Reader getDetail() const;
+
+  inline bool hasDatabase() const;
+  inline  ::capnp::Text::Reader getDatabase() const;
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Event::Builder {
+public:
+  typedef Event Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWallUs();
+  inline void setWallUs( ::int64_t value);
+
+  inline  ::uint32_t getCounter();
+  inline void setCounter( ::uint32_t value);
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline bool hasKind();
+  inline  ::capnp::Text::Builder getKind();
+  inline void setKind( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKind(unsigned int size);
+  inline void adoptKind(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKind();
+
+  inline bool hasDetail();
+  inline  ::capnp::Text::Builder getDetail();
+  inline void setDetail( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDetail(unsigned int size);
+  inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDetail();
+
+  inline bool hasDatabase();
+  inline  ::capnp::Text::Builder getDatabase();
+  inline void setDatabase( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
+  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Event::Pipeline {
+public:
+  typedef Event Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EventFilter::Reader {
+public:
+  typedef EventFilter Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDatabase() const;
+  inline  ::capnp::Text::Reader getDatabase() const;
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+  inline  ::int64_t getSinceUs() const;
+
+  inline  ::uint32_t getLimit() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EventFilter::Builder {
+public:
+  typedef EventFilter Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDatabase();
+  inline  ::capnp::Text::Builder getDatabase();
+  inline void setDatabase( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
+  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+  inline  ::int64_t getSinceUs();
+  inline void setSinceUs( ::int64_t value);
+
+  inline  ::uint32_t getLimit();
+  inline void setLimit( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EventFilter::Pipeline {
+public:
+  typedef EventFilter Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Gate::Client
     : public virtual ::capnp::Capability::Client {
@@ -2460,6 +2744,13 @@
   inline bool hasMessage() const;
   inline  ::citronlug::wire::CellMessage::Reader getMessage() const;
 
+  inline  ::int64_t getWallUs() const;
+
+  inline  ::uint32_t getCounter() const;
+
+  inline bool hasSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2495,6 +2786,19 @@
   inline void adoptMessage(::capnp::Orphan< ::citronlug::wire::CellMessage>&& value);
   inline ::capnp::Orphan< ::citronlug::wire::CellMessage> disownMessage();
 
+  inline  ::int64_t getWallUs();
+  inline void setWallUs( ::int64_t value);
+
+  inline  ::uint32_t getCounter();
+  inline void setCounter( ::uint32_t value);
+
+  inline bool hasSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3462,7 +3766,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getLimit() const;
+  inline bool hasFilter() const;
+  inline  ::citronlug::wire::EventFilter::Reader getFilter() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3492,8 +3797,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getLimit();
-  inline void setLimit( ::uint32_t value);
+  inline bool hasFilter();
+  inline  ::citronlug::wire::EventFilter::Builder getFilter();
+  inline void setFilter( ::citronlug::wire::EventFilter::Reader value);
+  inline  ::citronlug::wire::EventFilter::Builder initFilter();
+  inline void adoptFilter(::capnp::Orphan< ::citronlug::wire::EventFilter>&& value);
+  inline ::capnp::Orphan< ::citronlug::wire::EventFilter> disownFilter();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3513,6 +3822,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::citronlug::wire::EventFilter::Pipeline getFilter();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3538,8 +3848,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLines() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLines() const;
+  inline bool hasEvents() const;
+  inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Reader getEvents() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3569,13 +3879,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLines();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLines();
-  inline void setLines( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setLines(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLines(unsigned int size);
-  inline void adoptLines(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLines();
+  inline bool hasEvents();
+  inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Builder getEvents();
+  inline void setEvents( ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Builder initEvents(unsigned int size);
+  inline void adoptEvents(::capnp::Orphan< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>> disownEvents();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3691,6 +4000,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getConfigVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3719,6 +4030,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3762,12 +4076,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::capnp::Text::Reader getRequest() const;
-
   inline bool hasDatabase() const;
   inline  ::capnp::Text::Reader getDatabase() const;
 
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3796,13 +4113,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::capnp::Text::Builder getRequest();
-  inline void setRequest( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
-
   inline bool hasDatabase();
   inline  ::capnp::Text::Builder getDatabase();
   inline void setDatabase( ::capnp::Text::Reader value);
@@ -3810,6 +4120,20 @@
   inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
 
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5761,6 +6085,368 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Event::Reader::getWallUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Event::Builder::getWallUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Event::Builder::setWallUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Event::Reader::getCounter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Event::Builder::getCounter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Event::Builder::setCounter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Event::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Event::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Event::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Event::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Event::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Event::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Event::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Event::Reader::hasKind() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Event::Builder::hasKind() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Event::Reader::getKind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Event::Builder::getKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Event::Builder::setKind( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Event::Builder::initKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Event::Builder::adoptKind(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Event::Reader::hasDetail() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Event::Builder::hasDetail() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Event::Reader::getDetail() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Event::Builder::getDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Event::Builder::setDetail( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Event::Builder::initDetail(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Event::Builder::adoptDetail(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Event::Reader::hasDatabase() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Event::Builder::hasDatabase() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Event::Reader::getDatabase() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Event::Builder::getDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Event::Builder::setDatabase( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Event::Builder::initDatabase(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Event::Builder::adoptDatabase(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Event::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Event::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Event::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Event::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Event::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Event::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Event::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Event::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Event::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Event::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Event::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Event::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Event::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Event::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool EventFilter::Reader::hasDatabase() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EventFilter::Builder::hasDatabase() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EventFilter::Reader::getDatabase() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EventFilter::Builder::getDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EventFilter::Builder::setDatabase( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EventFilter::Builder::initDatabase(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EventFilter::Builder::adoptDatabase(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EventFilter::Builder::disownDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EventFilter::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EventFilter::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EventFilter::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EventFilter::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EventFilter::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EventFilter::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void EventFilter::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EventFilter::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EventFilter::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool EventFilter::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EventFilter::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EventFilter::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void EventFilter::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EventFilter::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void EventFilter::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EventFilter::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t EventFilter::Reader::getSinceUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t EventFilter::Builder::getSinceUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EventFilter::Builder::setSinceUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EventFilter::Reader::getLimit() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EventFilter::Builder::getLimit() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EventFilter::Builder::setLimit( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -5989,6 +6675,68 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Peer::CellMessageParams::Reader::getWallUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Peer::CellMessageParams::Builder::getWallUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::CellMessageParams::Builder::setWallUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Peer::CellMessageParams::Reader::getCounter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Peer::CellMessageParams::Builder::getCounter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Peer::CellMessageParams::Builder::setCounter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::CellMessageParams::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::CellMessageParams::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::CellMessageParams::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::CellMessageParams::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::CellMessageParams::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::CellMessageParams::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::CellMessageParams::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::CellMessageParams::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::ExecuteParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6439,126 +7187,195 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Peer::TimelineParams::Reader::getLimit() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::TimelineParams::Reader::hasFilter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Peer::TimelineParams::Builder::getLimit() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::TimelineParams::Builder::hasFilter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Peer::TimelineParams::Builder::setLimit( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::citronlug::wire::EventFilter::Reader Peer::TimelineParams::Reader::getFilter() const {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::EventFilter>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::citronlug::wire::EventFilter::Builder Peer::TimelineParams::Builder::getFilter() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::EventFilter>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citronlug::wire::EventFilter::Pipeline Peer::TimelineParams::Pipeline::getFilter() {
+  return  ::citronlug::wire::EventFilter::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::TimelineParams::Builder::setFilter( ::citronlug::wire::EventFilter::Reader value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::EventFilter>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::citronlug::wire::EventFilter::Builder Peer::TimelineParams::Builder::initFilter() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::EventFilter>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::TimelineParams::Builder::adoptFilter(
+    ::capnp::Orphan< ::citronlug::wire::EventFilter>&& value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::EventFilter>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citronlug::wire::EventFilter> Peer::TimelineParams::Builder::disownFilter() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::EventFilter>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::TimelineResults::Reader::hasLines() const {
+inline bool Peer::TimelineResults::Reader::hasEvents() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::TimelineResults::Builder::hasLines() {
+inline bool Peer::TimelineResults::Builder::hasEvents() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::TimelineResults::Reader::getLines() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Reader Peer::TimelineResults::Reader::getEvents() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::TimelineResults::Builder::getLines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Builder Peer::TimelineResults::Builder::getEvents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::TimelineResults::Builder::setLines( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void Peer::TimelineResults::Builder::setLines(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void Peer::TimelineResults::Builder::setEvents( ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::TimelineResults::Builder::initLines(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Builder Peer::TimelineResults::Builder::initEvents(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::TimelineResults::Builder::adoptLines(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void Peer::TimelineResults::Builder::adoptEvents(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::TimelineResults::Builder::disownLines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>> Peer::TimelineResults::Builder::disownEvents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::CancelParams::Reader::hasRequest() const {
+inline  ::uint64_t Peer::PingResults::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::PingResults::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::PingResults::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::CancelParams::Reader::hasDatabase() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::CancelParams::Builder::hasRequest() {
+inline bool Peer::CancelParams::Builder::hasDatabase() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::CancelParams::Reader::getRequest() const {
+inline  ::capnp::Text::Reader Peer::CancelParams::Reader::getDatabase() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::CancelParams::Builder::getRequest() {
+inline  ::capnp::Text::Builder Peer::CancelParams::Builder::getDatabase() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::CancelParams::Builder::setRequest( ::capnp::Text::Reader value) {
+inline void Peer::CancelParams::Builder::setDatabase( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::CancelParams::Builder::initRequest(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::CancelParams::Builder::initDatabase(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::CancelParams::Builder::adoptRequest(
+inline void Peer::CancelParams::Builder::adoptDatabase(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::CancelParams::Builder::disownRequest() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::CancelParams::Builder::disownDatabase() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::CancelParams::Reader::hasDatabase() const {
+inline bool Peer::CancelParams::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::CancelParams::Builder::hasDatabase() {
+inline bool Peer::CancelParams::Builder::hasAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::CancelParams::Reader::getDatabase() const {
+inline  ::capnp::Text::Reader Peer::CancelParams::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::CancelParams::Builder::getDatabase() {
+inline  ::capnp::Text::Builder Peer::CancelParams::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::CancelParams::Builder::setDatabase( ::capnp::Text::Reader value) {
+inline void Peer::CancelParams::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::CancelParams::Builder::initDatabase(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::CancelParams::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Peer::CancelParams::Builder::adoptDatabase(
+inline void Peer::CancelParams::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::CancelParams::Builder::disownDatabase() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::CancelParams::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::CancelParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::CancelParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::CancelParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::CancelParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::CancelParams::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::CancelParams::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::CancelParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::CancelParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- /dev/null
+++ b/src/citronlugd/peer_codec.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "peer.capnp.h"
+
+#include <citronlug/cell_node.h>
+#include <citronlug/request.h>
+#include <citronlug/timeline.h>
+
+#include <optional>
+
+/// Conversion between the kernel's values and the messages of peer.capnp.
+namespace citronlug {
+
+auto encode(const peer_message& message, wire::CellMessage::Builder to) -> void;
+/// Nothing if the message is of a kind that this version does not know.
+[[nodiscard]] auto decode(wire::CellMessage::Reader from) -> std::optional<peer_message>;
+
+/// The deadline travels as the remaining time.
+auto encode(const request& work, time_point now, wire::Request::Builder to) -> void;
+/// Nothing if an enum value is out of range.
+[[nodiscard]] auto decode(wire::Request::Reader from, time_point now) -> std::optional<request>;
+
+auto encode(const answer& value, epoch_number holder_epoch, wire::Answer::Builder to) -> void;
+[[nodiscard]] auto decode(wire::Answer::Reader from, epoch_number& holder_epoch) -> std::optional<answer>;
+
+auto encode(const timeline_filter& filter, wire::EventFilter::Builder to) -> void;
+[[nodiscard]] auto decode(wire::EventFilter::Reader from) -> timeline_filter;
+auto encode(const timeline_event& event, wire::Event::Builder to) -> void;
+[[nodiscard]] auto decode(wire::Event::Reader from) -> timeline_event;
+
+} // namespace citronlug
--- /dev/null
+++ b/src/citronlugd/peer_rpc.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <citronlug/cell_node.h>
+#include <citronlug/request.h>
+#include <citronlug/timeline.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citronlug {
+
+/// Answer of an accountant.
+struct grant_reply {
+    bool held = false; ///< false: the addressed instance is not the accountant
+    std::uint32_t tokens = 0;
+    duration wait{};
+};
+
+struct config_reply {
+    std::uint64_t version = 0; ///< 0: nothing newer
+    std::string text;
+};
+
+/// Whether a failed call may have had an effect.
+enum class call_failure {
+    not_sent, ///< the peer certainly did not receive the call
+    lost,     ///< the connection failed, or the peer was silent, after the call was sent
+};
+
+using execute_reply = std::variant<std::pair<answer, epoch_number>, call_failure>;
+
+/// What peers ask of this instance. All functions are called on the peer thread and must not block; the
+/// reply functions are thread-safe.
+struct peer_services {
+    std::function<void(peer_message, hybrid_time)> cell_message;
+    std::function<std::uint64_t()> config_version;
+    std::function<void(request, std::function<void(answer, epoch_number)>)> execute;
+    std::function<void(account_id, std::uint32_t wanted, std::function<void(grant_reply)>)> take_grant;
+    std::function<void(account_id, std::uint32_t tokens, duration age)> give_back;
+    std::function<config_reply(std::uint64_t version)> fetch_config;
+    std::function<std::optional<role_location>(role_id)> locate;
+    std::function<std::vector<timeline_event>(const timeline_filter&)> timeline;
+    std::function<void(database_id, account_id, request_id)> cancel;
+};
+
+struct peer_counters {
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t calls = 0;
+    std::uint64_t failed_calls = 0;
+    std::uint64_t reconnects = 0;
+    std::uint64_t refused_proofs = 0;
+};
+
+/// Cap'n Proto RPC with the other instances on a thread with its own kj event loop. One connection per peer
+/// and direction. A peer proves knowledge of the fleet's peer secret before it obtains the interface.
+class peer_rpc {
+public:
+    peer_rpc(instance_id self, const std::string& secret, peer_services services);
+    ~peer_rpc();
+    peer_rpc(const peer_rpc&) = delete;
+    auto operator=(const peer_rpc&) -> peer_rpc& = delete;
+
+    /// Listens on numeric "host:port". Returns the port, 0 on failure.
+    auto listen(const std::string& address) -> std::uint16_t;
+
+    // Thread-safe. Reply functions are called on the peer thread, exactly once.
+    auto send_cell(const std::string& address, peer_message message, hybrid_time at) -> void;
+    auto execute(const std::string& address, request work, std::function<void(execute_reply)> done) -> void;
+    auto take_grant(const std::string& address, account_id account, std::uint32_t wanted, time_point deadline,
+                    std::function<void(std::optional<grant_reply>)> done) -> void;
+    auto give_back(const std::string& address, account_id account, std::uint32_t tokens, duration age) -> void;
+    auto fetch_config(const std::string& address, std::uint64_t version,
+                      std::function<void(std::optional<config_reply>)> done) -> void;
+    auto locate(const std::string& address, role_id role,
+                std::function<void(std::optional<role_location>)> done) -> void;
+    auto timeline(const std::string& address, timeline_filter filter,
+                  std::function<void(std::optional<std::vector<timeline_event>>)> done) -> void;
+    /// Configuration version in force at the peer.
+    auto config_version(const std::string& address, std::function<void(std::optional<std::uint64_t>)> done)
+        -> void;
+    auto cancel(const std::string& address, database_id database, account_id account, request_id id) -> void;
+    [[nodiscard]] auto counters() const -> peer_counters;
+    auto stop() -> void;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/citronlugd/peer_server.cpp
@@ -0,0 +1,237 @@
+#include "peer_server.h"
+
+#include "event_thread.h"
+#include "peer_codec.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <sodium.h>
+
+namespace citronlug {
+
+namespace {
+
+constexpr auto max_strangers = 64U;
+constexpr auto max_connections = 1000U;
+/// Messages up to 8 MB; a request body has at most 1 MB.
+constexpr auto traversal_words = std::uint64_t{1} << 20U;
+
+/// Returns a promise and a function that fulfils it from any thread.
+template <class Value>
+auto make_reply(const peer_post& post) -> std::pair<kj::Promise<Value>, std::function<void(Value)>> {
+    auto pair = kj::newPromiseAndFulfiller<Value>();
+    auto holder = std::make_shared<kj::Own<kj::PromiseFulfiller<Value>>>(kj::mv(pair.fulfiller));
+    // The fulfiller belongs to the peer thread, so its last owner must be a task of that thread.
+    auto fulfil = [post, holder = std::move(holder)](Value value) mutable {
+        auto carried = std::make_shared<Value>(std::move(value));
+        post([holder = std::move(holder), carried] { (*holder)->fulfill(std::move(*carried)); });
+    };
+    return {kj::mv(pair.promise), std::move(fulfil)};
+}
+
+struct execute_value {
+    answer value;
+    epoch_number epoch = 0;
+};
+
+class peer_impl final : public wire::Peer::Server {
+public:
+    explicit peer_impl(std::shared_ptr<inbound_state> state) : state_{std::move(state)} {}
+
+    auto cellMessage(CellMessageContext context) -> kj::Promise<void> override {
+        if (auto message = decode(context.getParams().getMessage())) {
+            const auto params = context.getParams();
+            state_->services.cell_message(
+                std::move(*message),
+                hybrid_time{params.getWallUs(), params.getCounter(), instance_id{std::string{params.getSender()}}});
+        }
+        return kj::READY_NOW;
+    }
+
+    auto execute(ExecuteContext context) -> kj::Promise<void> override {
+        auto work = decode(context.getParams().getRequest(), clock_now());
+        context.releaseParams();
+        if (!work) {
+            auto value = answer{};
+            value.error = failure{failure_code::bad_request, "the peer sent a request that cannot be read", {}};
+            encode(value, 0, context.getResults().initAnswer());
+            return kj::READY_NOW;
+        }
+        auto [promise, fulfil] = make_reply<execute_value>(state_->post);
+        state_->services.execute(std::move(*work),
+                                 [fulfil = std::move(fulfil)](answer value, epoch_number epoch) mutable {
+                                     fulfil(execute_value{std::move(value), epoch});
+                                 });
+        return promise.then([context](execute_value it) mutable {
+            encode(it.value, it.epoch, context.getResults().initAnswer());
+        });
+    }
+
+    auto takeGrant(TakeGrantContext context) -> kj::Promise<void> override {
+        auto [promise, fulfil] = make_reply<grant_reply>(state_->post);
+        const auto params = context.getParams();
+        state_->services.take_grant(account_id{std::string{params.getAccount()}}, params.getWanted(),
+                                    std::move(fulfil));
+        return promise.then([context](grant_reply it) mutable {
+            auto results = context.getResults();
+            results.setHeld(it.held);
+            results.setTokens(it.tokens);
+            results.setWaitUs(it.wait.count());
+        });
+    }
+
+    auto giveBack(GiveBackContext context) -> kj::Promise<void> override {
+        const auto params = context.getParams();
+        state_->services.give_back(account_id{std::string{params.getAccount()}}, params.getTokens(),
+                                   duration{params.getAgeUs()});
+        return kj::READY_NOW;
+    }
+
+    auto fetchConfig(FetchConfigContext context) -> kj::Promise<void> override {
+        const auto reply = state_->services.fetch_config(context.getParams().getVersion());
+        auto results = context.getResults();
+        results.setVersion(reply.version);
+        results.setText(reply.text);
+        return kj::READY_NOW;
+    }
+
+    auto locate(LocateContext context) -> kj::Promise<void> override {
+        const auto params = context.getParams();
+        const auto kind = params.getKind() == 0 ? role_kind::database : role_kind::account;
+        const auto found = state_->services.locate(role_id{kind, std::string{params.getName()}});
+        auto results = context.getResults();
+        results.setFound(found.has_value());
+        if (found) {
+            results.setInstance(found->holder.value);
+            results.setAddress(found->peer_address);
+            results.setEpoch(found->epoch);
+        }
+        return kj::READY_NOW;
+    }
+
+    auto timeline(TimelineContext context) -> kj::Promise<void> override {
+        const auto events = state_->services.timeline(decode(context.getParams().getFilter()));
+        auto list = context.getResults().initEvents(static_cast<unsigned>(events.size()));
+        for (auto n = 0U; n < list.size(); ++n) {
+            encode(events[n], list[n]);
+        }
+        return kj::READY_NOW;
+    }
+
+    auto ping(PingContext context) -> kj::Promise<void> override {
+        context.getResults().setConfigVersion(state_->services.config_version());
+        return kj::READY_NOW;
+    }
+
+    auto cancel(CancelContext context) -> kj::Promise<void> override {
+        const auto params = context.getParams();
+        state_->services.cancel(database_id{std::string{params.getDatabase()}},
+                                account_id{std::string{params.getAccount()}},
+                                request_id{std::string{params.getRequest()}});
+        return kj::READY_NOW;
+    }
+
+private:
+    std::shared_ptr<inbound_state> state_;
+};
+
+/// State of one connection, shared by its gate and its timeout.
+struct connection_state {
+    bool proved = false;
+};
+
+class gate_impl final : public wire::Gate::Server {
+public:
+    gate_impl(std::shared_ptr<inbound_state> state, std::shared_ptr<connection_state> connection)
+        : state_{std::move(state)}, connection_{std::move(connection)} {
+        randombytes_buf(nonce_, sizeof nonce_);
+    }
+
+    auto challenge(ChallengeContext context) -> kj::Promise<void> override {
+        context.getResults().setNonce(kj::arrayPtr(nonce_, sizeof nonce_));
+        return kj::READY_NOW;
+    }
+
+    auto enter(EnterContext context) -> kj::Promise<void> override {
+        const auto params = context.getParams();
+        const auto expected = make_peer_proof(state_->key, kj::arrayPtr(nonce_, sizeof nonce_), std::string{params.getFrom()});
+        const auto proof = params.getProof();
+        if (connection_->proved || proof.size() != expected.size() ||
+            sodium_memcmp(proof.begin(), expected.data(), expected.size()) != 0) {
+            ++state_->refused_proofs;
+            return KJ_EXCEPTION(FAILED, "the proof of the peer secret is not valid");
+        }
+        connection_->proved = true;
+        --state_->strangers;
+        context.getResults().setPeer(kj::heap<peer_impl>(state_));
+        return kj::READY_NOW;
+    }
+
+private:
+    std::shared_ptr<inbound_state> state_;
+    std::shared_ptr<connection_state> connection_;
+    kj::byte nonce_[32] = {};
+};
+
+/// One accepted connection.
+struct inbound {
+    inbound(std::shared_ptr<inbound_state> shared, kj::Own<kj::AsyncIoStream> accepted)
+        : state{std::move(shared)}
+        , connection{std::make_shared<connection_state>()}
+        , stream{kj::mv(accepted)}
+        , network{*stream, capnp::rpc::twoparty::Side::SERVER,
+                  capnp::ReaderOptions{.traversalLimitInWords = traversal_words, .nestingLimit = 16}}
+        , system{capnp::makeRpcServer(network, kj::heap<gate_impl>(state, connection))} {
+        ++state->strangers;
+        ++state->connections;
+    }
+    inbound(const inbound&) = delete;
+    auto operator=(const inbound&) -> inbound& = delete;
+    ~inbound() {
+        --state->connections;
+        state->strangers -= connection->proved ? 0 : 1;
+    }
+
+    std::shared_ptr<inbound_state> state;
+    std::shared_ptr<connection_state> connection;
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
+};
+
+} // namespace
+
+auto derive_peer_key(const std::string& secret) -> std::string {
+    auto key = std::string(crypto_auth_KEYBYTES, '\0');
+    crypto_generichash(reinterpret_cast<unsigned char*>(key.data()), key.size(),
+                       reinterpret_cast<const unsigned char*>(secret.data()), secret.size(), nullptr, 0);
+    return key;
+}
+
+auto make_peer_proof(const std::string& key, kj::ArrayPtr<const kj::byte> nonce, const std::string& sender)
+    -> std::string {
+    auto text = std::string{reinterpret_cast<const char*>(nonce.begin()), nonce.size()};
+    text += sender;
+    auto proof = std::string(crypto_auth_BYTES, '\0');
+    crypto_auth(reinterpret_cast<unsigned char*>(proof.data()), reinterpret_cast<const unsigned char*>(text.data()),
+                text.size(), reinterpret_cast<const unsigned char*>(key.data()));
+    return proof;
+}
+
+auto serve_peer(std::shared_ptr<inbound_state> state, kj::Own<kj::AsyncIoStream> stream, kj::Timer& timer)
+    -> kj::Promise<void> {
+    if (state->strangers >= max_strangers || state->connections >= max_connections) {
+        return kj::READY_NOW; // closes the stream
+    }
+    auto served = kj::heap<inbound>(std::move(state), kj::mv(stream));
+    auto connection = served->connection;
+    auto closed = served->network.onDisconnect();
+    auto timeout = timer.afterDelay(2 * kj::SECONDS).then([connection]() -> kj::Promise<void> {
+        if (connection->proved) {
+            return kj::NEVER_DONE;
+        }
+        return kj::READY_NOW;
+    });
+    return closed.exclusiveJoin(kj::mv(timeout)).attach(kj::mv(served));
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/citronlugd/peer_server.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "peer.capnp.h"
+#include "peer_rpc.h"
+
+#include <kj/async-io.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace citronlug {
+
+/// Runs a task on the peer thread.
+using peer_post = std::function<void(std::function<void()>)>;
+
+/// Key for the proofs of peers, derived from the peer secret of the settings.
+[[nodiscard]] auto derive_peer_key(const std::string& secret) -> std::string;
+/// Proof that the sender knows the peer secret, for one connection.
+[[nodiscard]] auto make_peer_proof(const std::string& key, kj::ArrayPtr<const kj::byte> nonce,
+                                   const std::string& sender) -> std::string;
+
+struct inbound_state {
+    peer_services services;
+    std::string key;
+    peer_post post;
+    unsigned strangers = 0; ///< connections that have given no proof yet
+    unsigned connections = 0;
+    std::uint64_t refused_proofs = 0;
+};
+
+/// Serves one accepted connection until it closes. A connection without proof is closed after 2 s.
+[[nodiscard]] auto serve_peer(std::shared_ptr<inbound_state> state, kj::Own<kj::AsyncIoStream> stream,
+                              kj::Timer& timer) -> kj::Promise<void>;
+
+} // namespace citronlug
--- /dev/null
+++ b/src/citronlugd/store_client.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <citronlug/cell_node.h>
+
+#include <QNetworkAccessManager>
+#include <QNetworkRequest>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citronlug {
+
+/// Calls to the platform: object API and instance list, over HTTP. Lives on the thread that creates it; the
+/// reply functions are called there, later, exactly once.
+class store_client {
+public:
+    using reply_handler = std::function<void(store_reply)>;
+
+    store_client(const std::string& address, const instance_id& self);
+
+    auto get(const std::string& key, reply_handler done) -> void;
+    /// Conditional update; `expected_version` 0 means that the object must not exist.
+    auto put(const std::string& key, const std::string& value, std::uint64_t expected_version, reply_handler done)
+        -> void;
+    /// Waits at the store until the object is newer than `after`. `not_found`: nothing newer within `wait`.
+    auto watch(const std::string& key, std::uint64_t after, duration wait, reply_handler done) -> void;
+    auto instances(std::function<void(std::optional<std::vector<listed_instance>>)> done) -> void;
+    auto announce(const listed_instance& self, std::function<void(bool)> done) -> void;
+
+    /// True if the last call that ended had an answer.
+    [[nodiscard]] auto answers() const -> bool { return answers_; }
+    [[nodiscard]] auto calls() const -> std::uint64_t { return calls_; }
+
+private:
+    struct http_answer {
+        int status = 0; ///< 0: no answer
+        std::uint64_t version = 0;
+        QByteArray body;
+    };
+    using http_handler = std::function<void(const http_answer&)>;
+
+    [[nodiscard]] auto request(const QString& path, duration limit) const -> QNetworkRequest;
+    auto finish(QNetworkReply* reply, http_handler done) -> void;
+
+    QString base_;
+    QByteArray self_;
+    QNetworkAccessManager manager_;
+    QNetworkAccessManager watcher_; ///< a pending watch must not take a connection of other calls
+    bool answers_ = false;
+    std::uint64_t calls_ = 0;
+};
+
+} // namespace citronlug
