--- a/src/citronlugd/control_plane.cpp
+++ b/src/citronlugd/control_plane.cpp
@@ -249,7 +249,7 @@
     }
     const auto database = database_id{role.role.name};
     if (const auto settings = settings_of(database)) {
-        shard_of(database).hold(*settings, role.epoch, it.node.authority_until());
+        shard_of(database).hold(*settings, role.epoch);
     }
 }
 
@@ -309,7 +309,7 @@
     for (const auto& [role, epoch] : it.held) {
         if (role.kind == role_kind::database) {
             if (const auto settings = settings_of(database_id{role.name})) {
-                shard_of(settings->database).hold(*settings, epoch, it.node.authority_until());
+                shard_of(settings->database).hold(*settings, epoch);
             }
         }
     }
--- /dev/null
+++ b/src/citronlugd/daemon.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "admin_api.h"
+#include "administration.h"
+#include "control_plane.h"
+#include "entry.h"
+#include "http_server.h"
+#include "peer_rpc.h"
+
+#include <citronlug/log.h>
+#include <citronlug/metrics.h>
+#include <citronlug/settings.h>
+#include <citronlug/timeline.h>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace citronlug {
+
+/// One instance: its threads, servers and their connections with each other. Created and used on the main
+/// thread, whose event loop serves callers and operators.
+class daemon final : public administration {
+public:
+    explicit daemon(process_settings settings);
+    ~daemon() override;
+
+    /// Starts to serve. Returns why that is not possible, or nothing.
+    [[nodiscard]] auto start() -> std::optional<std::string>;
+    /// Leaves gracefully: hands roles over, finishes running requests and calls `done`, within 9 s.
+    auto leave(std::function<void()> done) -> void;
+
+    // administration
+    auto status(callback<instance_status> done) -> void override;
+    auto events(const timeline_filter& filter, callback<std::vector<timeline_event>> done) -> void override;
+    [[nodiscard]] auto metrics_text() -> std::string override;
+    [[nodiscard]] auto refuse_change() -> std::optional<failure> override;
+    [[nodiscard]] auto current_config() -> configuration override;
+    auto read_config(callback<result<configuration>> done) -> void override;
+    auto write_config(const configuration& config, std::uint64_t expected_version,
+                      callback<result<std::uint64_t>> done) -> void override;
+    auto versions(callback<std::vector<instance_version>> done) -> void override;
+    [[nodiscard]] auto wall_seconds() -> std::int64_t override;
+
+private:
+    auto record(const std::string& subject, const std::string& kind, const std::string& detail) -> void;
+    auto services() -> peer_services;
+    auto handle_admin(const http_request& incoming, const std::shared_ptr<http_exchange>& exchange) -> void;
+    auto continue_leaving() -> void;
+
+    process_settings settings_;
+    incarnation run_;
+    time_point started_;
+    metrics metrics_;
+    logger log_;
+    timeline timeline_;
+    std::vector<std::unique_ptr<holder_shard>> shards_;
+    peer_rpc* peers_pointer_ = nullptr; ///< known to the control plane before the RPC exists
+    std::unique_ptr<control_plane> control_;
+    std::unique_ptr<peer_rpc> peers_;
+    std::unique_ptr<entry> entry_;
+    std::unique_ptr<admin_api> admin_;
+    std::unique_ptr<http_server> callers_;
+    std::unique_ptr<http_server> operators_;
+    task_queue queue_;
+    QTimer leave_timer_;
+    time_point leave_started_;
+    int leave_step_ = 0;
+    std::function<void()> left_;
+};
+
+} // namespace citronlug
--- a/src/citronlugd/holder_shard.cpp
+++ b/src/citronlugd/holder_shard.cpp
@@ -55,8 +55,13 @@
     time_point since;
 };
 
-holder_shard::holder_shard(const std::string& name, pg_options options, event_sink events)
-    : name_{name}, options_{std::move(options)}, events_{std::move(events)}, thread_{name} {
+holder_shard::holder_shard(const std::string& name, pg_options options, std::function<time_point()> authority,
+                           event_sink events)
+    : name_{name}
+    , options_{std::move(options)}
+    , events_{std::move(events)}
+    , authority_{std::move(authority)}
+    , thread_{name} {
     thread_.run([this] {
         timer_ = std::make_unique<QTimer>();
         timer_->setTimerType(Qt::PreciseTimer);
@@ -87,9 +92,8 @@
     return it == holders_.end() || it->second->generation != generation ? nullptr : it->second.get();
 }
 
-auto holder_shard::hold(const database_settings& settings, epoch_number epoch, time_point authority) -> void {
-    thread_.post([this, settings, epoch, authority] {
-        authority_ = std::max(authority_, authority);
+auto holder_shard::hold(const database_settings& settings, epoch_number epoch) -> void {
+    thread_.post([this, settings, epoch] {
         const auto now = clock_now();
         auto it = holders_.find(settings.database);
         if (it != holders_.end() && it->second->epoch == epoch) {
@@ -100,7 +104,7 @@
             auto fresh = std::make_unique<held>(settings, epoch, now, ++next_generation_);
             it = holders_.insert_or_assign(settings.database, std::move(fresh)).first;
         }
-        it->second->logic.set_authority(authority_);
+        it->second->logic.set_authority(authority_());
         perform(*it->second);
     });
 }
@@ -129,15 +133,6 @@
     });
 }
 
-auto holder_shard::set_authority(time_point valid_until) -> void {
-    thread_.post([this, valid_until] {
-        authority_ = valid_until;
-        for (auto& [name, it] : holders_) {
-            it->logic.set_authority(valid_until);
-        }
-    });
-}
-
 auto holder_shard::execute(request work, answer_handler done) -> void {
     thread_.post([this, work = std::move(work), done = std::move(done)]() mutable {
         const auto it = holders_.find(work.database);
@@ -148,6 +143,7 @@
         auto& holder = *it->second;
         const auto handle = holder.next_handle++;
         holder.requests.emplace(handle, held::waiting{std::move(done), work.account, work.id});
+        holder.logic.set_authority(authority_());
         holder.logic.on_request(clock_now(), handle, std::move(work));
         perform(holder);
     });
@@ -219,6 +215,7 @@
                 probe.connection->check_time(now);
             }
         }
+        it->logic.set_authority(authority_());
         it->logic.on_timer(now);
         perform(*it);
     }
--- a/src/citronlugd/holder_shard.h
+++ b/src/citronlugd/holder_shard.h
@@ -23,16 +23,17 @@
 /// answers. All public methods are thread-safe.
 class holder_shard {
 public:
-    holder_shard(const std::string& name, pg_options options, event_sink events);
+    /// `authority` tells until when this instance may act; it must be thread-safe.
+    holder_shard(const std::string& name, pg_options options, std::function<time_point()> authority,
+                 event_sink events);
     ~holder_shard();
     holder_shard(const holder_shard&) = delete;
     auto operator=(const holder_shard&) -> holder_shard& = delete;
 
     /// Starts to act for a database, or replaces its settings if the epoch is the same.
-    auto hold(const database_settings& settings, epoch_number epoch, time_point authority) -> void;
+    auto hold(const database_settings& settings, epoch_number epoch) -> void;
     /// Stops acting; queued work is answered with "not run", running work as unknown.
     auto release(const database_id& database) -> void;
-    auto set_authority(time_point valid_until) -> void;
     /// Answers `not_holder` if the database is not held here. The request's session with the caller is
     /// identified by account and request id in `cancel`.
     auto execute(request work, answer_handler done) -> void;
@@ -65,7 +66,7 @@
     mutable std::mutex guard_; ///< of the map for status(); changes happen on the shard's thread
     std::map<database_id, std::unique_ptr<held>> holders_;
     std::uint64_t next_generation_ = 0;
-    time_point authority_;
+    std::function<time_point()> authority_;
     std::vector<database_settings> standby_;
     std::vector<std::unique_ptr<standby_connection>> standby_connections_;
     std::vector<std::unique_ptr<pg_connection>> retired_; ///< closed outside of their own handlers
