--- /dev/null
+++ b/src/libcitronlug/settings_test.cpp
@@ -0,0 +1,137 @@
+// Qt headers use placement new, which the macros of CppUTest would break.
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <citronlug/testing.h>
+
+#include <citronlug/settings.h>
+
+using namespace citronlug;
+
+namespace {
+
+auto good_object() -> QJsonObject {
+    return {{"instance", "i1"},
+            {"cell", "c1"},
+            {"region", "north"},
+            {"failure_domain", "a"},
+            {"caller_address", "127.0.0.1:7101"},
+            {"peer_address", "127.0.0.1:7201"},
+            {"admin_address", "[::1]:7301"},
+            {"store_address", "127.0.0.1:7001"},
+            {"admin_tokens", QJsonArray{QJsonObject{{"name", "aino"}, {"sha256", QString{64, QChar{'a'}}}}}},
+            {"peer_secret", "0123456789abcdef"}};
+}
+
+auto parse(const QJsonObject& object) {
+    return parse_settings(QJsonDocument{object}.toJson().toStdString());
+}
+
+/// Paths of all faults.
+auto paths(const QJsonObject& object) -> std::multiset<std::string> {
+    auto found = std::multiset<std::string>{};
+    const auto parsed = parse(object);
+    if (const auto* errors = std::get_if<std::vector<setting_error>>(&parsed); errors != nullptr) {
+        for (const auto& it : *errors) {
+            CHECK(!it.message.empty() && !it.accepted.empty());
+            found.insert(it.path);
+        }
+    }
+    return found;
+}
+
+using path_list = std::multiset<std::string>;
+
+} // namespace
+
+TEST_GROUP_BASE(process_settings_file, citronlug::testing::story){};
+
+TEST(process_settings_file, has_defaults_for_what_is_left_out) {
+    const auto parsed = parse(good_object());
+    CHECK(std::holds_alternative<process_settings>(parsed));
+    const auto& settings = std::get<process_settings>(parsed);
+    CHECK(settings.lease.lease == 2000ms && settings.lease.drift_allowance == 200ms);
+    CHECK(settings.read_policy == "evidence" && settings.connections == connection_mode::holder);
+    CHECK(settings.admin_tokens.at(0).name == "aino" && settings.other_cells.empty());
+}
+
+TEST(process_settings_file, has_other_values) {
+    auto object = good_object();
+    object["lease"] = QJsonObject{{"lease_ms", 3000}, {"heartbeat_ms", 500}};
+    object["limits"] = QJsonObject{{"idle_seconds", 5}};
+    object["connection_mode"] = "direct";
+    object["other_cells"] = QJsonObject{{"c2", QJsonArray{"127.0.0.1:8201"}}};
+    const auto parsed = parse(object);
+    CHECK(std::holds_alternative<process_settings>(parsed));
+    const auto& settings = std::get<process_settings>(parsed);
+    CHECK(settings.lease.lease == 3s && settings.lease.drift_allowance == 300ms);
+    CHECK(settings.limits.idle == 5s && settings.connections == connection_mode::direct);
+    CHECK(settings.other_cells.at(cell_id{"c2"}).at(0) == "127.0.0.1:8201");
+}
+
+// Guards against a misspelt field whose default stays in force unnoticed.
+TEST(process_settings_file, names_unknown_fields) {
+    auto object = good_object();
+    object["read_polcy"] = "primary";
+    object["lease"] = QJsonObject{{"lease", 2000}};
+    object["admin_tokens"] = QJsonArray{QJsonObject{{"name", "x"}, {"token", "y"}}};
+    CHECK(paths(object) ==
+          (path_list{"read_polcy", "lease.lease", "admin_tokens[0].sha256", "admin_tokens[0].token"}));
+}
+
+// Guards against times with which two instances could hold the same role.
+TEST(process_settings_file, names_times_that_do_not_fit) {
+    auto object = good_object();
+    object["lease"] = QJsonObject{{"lease_ms", 900}};
+    CHECK(paths(object) == (path_list{"lease.heartbeat_ms", "lease.store_renewal_ms", "lease.lease_ms"}));
+    object["lease"] = QJsonObject{{"drift_ms", 10}};
+    CHECK(paths(object) == path_list{"lease.drift_ms"});
+}
+
+TEST(process_settings_file, names_values_that_contradict_others) {
+    auto object = good_object();
+    object["peer_address"] = object["caller_address"];
+    object["other_cells"] = QJsonObject{{"c1", QJsonArray{"127.0.0.1:8201"}}, {"c2", QJsonArray{}}};
+    const auto token = object["admin_tokens"].toArray().at(0);
+    object["admin_tokens"] = QJsonArray{token, token};
+    CHECK(paths(object) ==
+          (path_list{"peer_address", "other_cells.c1", "other_cells.c2", "admin_tokens[1].name"}));
+}
+
+TEST(process_settings_file, names_the_place_of_a_syntax_error) {
+    const auto parsed = parse_settings("{\n  \"instance\": i1\n}");
+    CHECK(std::holds_alternative<std::vector<setting_error>>(parsed));
+    CHECK(std::get<std::vector<setting_error>>(parsed).at(0).path.starts_with("line 2, column "));
+    CHECK(std::holds_alternative<std::vector<setting_error>>(parse_settings("[]")));
+}
+
+// Guards against a check that stops at the first fault.
+TEST(process_settings_file, names_all_faults_at_once) {
+    citronlug::testing::check_property("each faulty field is reported", [] {
+        auto object = good_object();
+        auto expected = path_list{};
+        for (const auto& field : good_object().keys()) {
+            switch (*rc::gen::inRange(0, 3)) {
+            case 0:
+                object.remove(field);
+                expected.insert(field.toStdString());
+                break;
+            case 1:
+                object[field] =
+                    *rc::gen::element(QJsonValue{7}, QJsonValue{""}, QJsonValue{QJsonValue::Null});
+                expected.insert(field.toStdString());
+                break;
+            default:
+                break;
+            }
+        }
+        for (const auto* field : {"shards", "read_policy", "connection_mode", "limits"}) {
+            if (*rc::gen::arbitrary<bool>()) {
+                object[QLatin1String{field}] = -1;
+                expected.insert(field);
+            }
+        }
+        RC_ASSERT(paths(object) == expected);
+    });
+}
