--- /dev/null
+++ b/testsuite/lib.sh
@@ -0,0 +1,176 @@
+# Functions shared by the testsuite scripts and the demo. Source this file; it needs CITRONLUG_BIN, the build
+# directory. Everything runs on free loopback ports in a temporary directory, and at the end only the
+# processes started here are ended.
+set -euo pipefail
+
+bin=${CITRONLUG_BIN:?set CITRONLUG_BIN to the build directory}
+work=$(mktemp -d)
+declare -A pid_of=() caller_of=() peer_of=() admin_of=() members_of=() control_of=()
+store_port=0
+operator_token=operator-token-for-tests
+next_port=$((20000 + (RANDOM * 7 + $$) % 11000))
+
+cleanup() {
+    local name
+    for name in "${!pid_of[@]}"; do
+        kill -CONT "${pid_of[$name]}" 2>/dev/null || true
+        kill -KILL "${pid_of[$name]}" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+    rm -rf "$work"
+}
+trap cleanup EXIT
+
+die() {
+    echo "FAILED: $*" >&2
+    for log in "$work"/*.log; do
+        [ -e "$log" ] && { echo "--- ${log##*/}" >&2; tail -n "${LOG_LINES:-8}" "$log" >&2; }
+    done
+    exit 1
+}
+
+# Sets `port` to a port on which nobody listens. Ports below 32768 are not handed out by the system.
+free_port() {
+    while :; do
+        next_port=$((next_port + 1))
+        [ "$next_port" -lt 32000 ] || next_port=20000
+        if ! (exec 3<>"/dev/tcp/127.0.0.1/$next_port") 2>/dev/null; then
+            port=$next_port
+            return
+        fi
+    done
+}
+
+# wait_for SECONDS COMMAND...: repeats the command until it succeeds.
+wait_for() {
+    local end=$((SECONDS + $1))
+    shift
+    until "$@" >/dev/null 2>&1; do
+        [ "$SECONDS" -lt "$end" ] || return 1
+        sleep 0.1
+    done
+}
+
+# Waits for the line "ready ..." that a stand-in prints, and prints it.
+ready_line() {
+    wait_for 10 grep -q '^ready' "$1" || die "no ready line in $1"
+    grep '^ready' "$1"
+}
+
+start_store() {
+    "$bin/src/standin/citronlug-standin-store" "$@" >"$work/store.out" 2>"$work/store.log" &
+    pid_of[store]=$!
+    local line
+    line=$(ready_line "$work/store.out")
+    store_port=${line##*port=}
+}
+
+# start_group NAME SCHEMA_FILE [OPTION...]
+start_group() {
+    local name=$1 schema=$2 line
+    shift 2
+    "$bin/src/standin/citronlug-standin-db" --schema "$schema" "$@" >"$work/$name.out" 2>"$work/$name.log" &
+    pid_of[$name]=$!
+    line=$(ready_line "$work/$name.out")
+    line=${line#*members=}
+    control_of[$name]=${line##*control=}
+    local ports=${line%% *}
+    members_of[$name]=127.0.0.1:${ports//,/,127.0.0.1:}
+}
+
+# start_instance ID FAILURE_DOMAIN: a restart of the same id keeps its addresses.
+start_instance() {
+    local id=$1 domain=$2 hash
+    if [ -z "${caller_of[$id]:-}" ]; then
+        free_port; caller_of[$id]=127.0.0.1:$port
+        free_port; peer_of[$id]=127.0.0.1:$port
+        free_port; admin_of[$id]=127.0.0.1:$port
+    fi
+    hash=$(printf %s "$operator_token" | sha256sum | cut -d' ' -f1)
+    cat >"$work/$id.json" <<JSON
+{"instance": "$id", "cell": "c1", "region": "north", "failure_domain": "$domain",
+ "caller_address": "${caller_of[$id]}", "peer_address": "${peer_of[$id]}", "admin_address": "${admin_of[$id]}",
+ "store_address": "127.0.0.1:$store_port", "peer_secret": "peer-secret-for-tests-only-0123456789",
+ "admin_tokens": [{"name": "tests", "sha256": "$hash"}]${EXTRA_SETTINGS:-}}
+JSON
+    "$bin/src/citronlugd/citronlugd" --settings "$work/$id.json" >>"$work/$id.out" 2>>"$work/$id.log" &
+    pid_of[$id]=$!
+}
+
+# stop_hard NAME: ends a process that this script started, without notice.
+stop_hard() {
+    kill -KILL "${pid_of[$1]}" 2>/dev/null || true
+    wait "${pid_of[$1]}" 2>/dev/null || true
+    unset "pid_of[$1]"
+}
+
+admin() {
+    local id=$1 method=$2 path=$3 body=${4:-}
+    curl -sS -m 8 -X "$method" -H "Authorization: Bearer $operator_token" ${body:+--data-binary "$body"} \
+        "http://${admin_of[$id]}/admin/v1$path"
+}
+
+# json_text TEXT: the text as a JSON string.
+json_text() {
+    local text=${1//\\/\\\\}
+    text=${text//\"/\\\"}
+    printf '"%s"' "${text//$'\n'/\\n}"
+}
+
+# apply_rules INSTANCE TEXT: replaces the rules of the fleet. Sets `version`.
+apply_rules() {
+    local current
+    current=$(admin "$1" GET /rules)
+    version=$(number_of version "$current")
+    result=$(admin "$1" POST /rules "{\"text\": $(json_text "$2"), \"expected_version\": ${version:-0}, \"summary\": \"tests\"}")
+    version=$(number_of version "$result")
+    [ -n "$version" ]
+}
+
+# issue_key INSTANCE ACCOUNT: sets `key` and `key_name` (its public id).
+issue_key() {
+    local result
+    result=$(admin "$1" POST /keys "{\"account\": \"$2\", \"requester\": \"tests\"}")
+    key=$(grep -o 'ck_[0-9a-f]*_[0-9a-f]*' <<<"$result" | head -1) || die "no key: $result"
+    key_name=${key#ck_}
+    key_name=${key_name%%_*}
+}
+
+# Values of JSON answers without nested objects of the same names.
+text_of() { sed -n "s/.*\"$1\":[ ]*\"\([^\"]*\)\".*/\1/p" <<<"$2" | head -1; }
+number_of() { sed -n "s/.*\"$1\":[ ]*\(-\{0,1\}[0-9][0-9]*\).*/\1/p" <<<"$2" | head -1; }
+
+# post INSTANCE PATH KEY BODY: sets `status` (000: no answer) and `reply`.
+post() {
+    status=$(curl -s -m "${CURL_TIME:-10}" -o "$work/reply" -w '%{http_code}' -X POST ${3:+-H "Authorization: Bearer $3"} \
+        --data-binary "$4" "http://${caller_of[$1]}$2") || true
+    reply=$(cat "$work/reply" 2>/dev/null || true)
+    : >"$work/reply"
+}
+
+expect() {
+    local what=$1 wanted=$2 found=$3
+    [ "$wanted" = "$found" ] || die "$what: expected '$wanted', found '$found' in: ${reply:-}"
+    [ -n "${QUIET:-}" ] || echo "ok: $what"
+}
+
+serving() { curl -sf -m 1 "http://${caller_of[$1]}/healthz" >/dev/null; }
+has_authority() { [[ $(admin "$1" GET /status) == *'"authority":true'* ]]; }
+
+# holder_of DATABASE INSTANCE...: prints the instance that holds the database.
+holder_of() {
+    local database=$1 id
+    shift
+    for id in "$@"; do
+        if [[ $(admin "$id" GET /status 2>/dev/null) == *"\"holders\":[{\"database\":\"$database\""* ]]; then
+            echo "$id"
+            return 0
+        fi
+    done
+    return 1
+}
+
+# fault CONTROL_PORT JSON: orders a fault of a stand-in.
+fault() { curl -sf -m 5 -X POST --data-binary "$2" "http://127.0.0.1:$1/fault" >/dev/null || die "fault $2 refused"; }
+
+now_ms() { local t=${EPOCHREALTIME/./}; echo $((t / 1000)); }
