--- a/src/citronlugd/pg_connection.cpp
+++ b/src/citronlugd/pg_connection.cpp
@@ -240,7 +240,9 @@
                 }
             }
         }
-        rows.affected = parse_number(PQcmdTuples(const_cast<PGresult*>(result))).value_or(0);
+        if (columns == 0) { // the count of a SELECT is not one of changed rows
+            rows.affected = parse_number(PQcmdTuples(const_cast<PGresult*>(result))).value_or(0);
+        }
         outcome_.results.push_back(std::move(rows));
         return;
     }
