--- a/src/bench/demo.sh
+++ b/src/bench/demo.sh
@@ -24,7 +24,9 @@
 start_instance a north-1
 start_instance b north-2
 start_instance c north-3
-wait_for 20 has_authority a || die "instance a did not get authority"
+for it in a b c; do
+    wait_for 20 in_table $it || die "instance $it is not in the table of the cell"
+done
 
 say "Apply rules and issue a key"
 rules="database orders-1 cell=c1 members=${members_of[orders-1]} slots=5 connections=35  # Aino Laine: order database
--- a/src/citronlugd/store_client.cpp
+++ b/src/citronlugd/store_client.cpp
@@ -111,7 +111,7 @@
             return;
         }
         auto list = std::vector<listed_instance>{};
-        const auto entries = QJsonDocument::fromJson(it.body).object()["instances"].toArray();
+        const auto entries = QJsonDocument::fromJson(it.body).array();
         for (const auto& entry : entries) {
             const auto object = entry.toObject();
             list.push_back({instance_id{string_at(object, "instance")}, cell_id{string_at(object, "cell")},
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -174,3 +174,56 @@
 fault() { curl -sf -m 5 -X POST --data-binary "$2" "http://127.0.0.1:$1/fault" >/dev/null || die "fault $2 refused"; }
 
 now_ms() { local t=${EPOCHREALTIME/./}; echo $((t / 1000)); }
+
+# start_fleet: store, database group orders-1, instances a, b and c, rules and a key of client account shop.
+# Sets `holder` and `others`. GROUP_OPTIONS go to the database group.
+start_fleet() {
+    local it
+    cat >"$work/schema.sql" <<'SQL'
+CREATE TABLE orders (id text PRIMARY KEY, item text, state text);
+SQL
+    start_store
+    # shellcheck disable=SC2086
+    start_group orders-1 "$work/schema.sql" --slots 5 ${GROUP_OPTIONS:---lag-ms 20}
+    start_instance a north-1
+    start_instance b north-2
+    start_instance c north-3
+    for it in a b c; do
+        wait_for 20 in_table "$it" || die "instance $it is not in the table of the cell"
+    done
+    rules="database orders-1 cell=c1 members=${members_of[orders-1]} slots=5 connections=35  # Aino Laine: order database
+route order database=orders-1 mode=write idempotent=no ack=replica  # Print floor: paid maps
+route mark database=orders-1 mode=write idempotent=no ack=primary  # Print floor: state changes
+route status database=orders-1 mode=read max-age=5s  # Web team: order page
+route shelf database=orders-1 mode=read max-age=5s open=yes  # Web team: public page
+limit shop rate=1000 burst=1000  # Sales: contract 12"
+    apply_rules a "$rules" || die "rules refused: $result"
+    issue_key a shop
+    for it in a b c; do
+        wait_for 20 serving "$it" || die "instance $it does not serve"
+    done
+    wait_for 10 holder_of orders-1 a b c || die "nobody holds the database"
+    holder=$(holder_of orders-1 a b c)
+    others=()
+    for it in a b c; do
+        [ "$it" = "$holder" ] || others+=("$it")
+    done
+    wait_for 10 order_works "${others[0]}" first || die "the first order fails: $status $reply"
+}
+
+# All three instances are members of the cell's table and this one hears them.
+in_table() { [[ $(admin "$1" GET /status | grep -o '"peer_address"' | wc -l) -eq ${FLEET_SIZE:-3} ]] && [[ $(admin "$1" GET /status) == *'"majority":true'* ]]; }
+
+# order INSTANCE REQUEST_ID [DEADLINE_MS]: a non-idempotent write whose row has the id of the request.
+order() {
+    post "$1" /v1/routes/order "$key" "{\"request_id\":\"$2\",\"deadline_ms\":${3:-8000},\"sql\":\"INSERT INTO orders (id, item, state) VALUES (\$1, \$2, \$3)\",\"parameters\":[\"$2\",\"map\",\"paid\"]}"
+}
+order_works() { order "$1" "$2"; [ "$status" = 200 ]; }
+
+# read_order INSTANCE ID [SESSION]: reads it, by default without a session.
+read_order() {
+    post "$1" /v1/routes/status "$key" "{\"deadline_ms\":${READ_DEADLINE:-3000}${3:+,\"session\":\"$3\"},\"sql\":\"SELECT id, state FROM orders WHERE id = \$1\",\"parameters\":[\"$2\"]}"
+}
+
+# group_state NAME: state of the database group's stand-in.
+group_state() { curl -sf -m 5 "http://127.0.0.1:${control_of[$1]}/state"; }
