--- a/src/bench/cluster.sh
+++ b/src/bench/cluster.sh
@@ -159,7 +159,7 @@
     for n in $(seq "$instances"); do start_instance "$n"; done
     write_rules >"$data/bench.rules"
     for n in $(seq 60); do
-        cli rules apply "$data/bench.rules" --wait >"$data/apply.out" 2>&1 && break
+        cli rules apply "$data/bench.rules" --base newest --summary "measurement" --wait >"$data/apply.out" 2>&1 && break
         sleep 0.25
     done
     : >"$data/keys"
--- a/src/citronlug/command_line.cpp
+++ b/src/citronlug/command_line.cpp
@@ -17,7 +17,8 @@
   rules apply FILE --base VERSION --summary TEXT [--wait]
                                    put FILE in force if VERSION is still the newest
   rules show | rules history       the rules in force; the last changes with their authors
-  key issue ACCOUNT --for WHO      issue a key for a client account; it is shown once
+  key issue ACCOUNT --requester WHO
+                                   issue a key for a client account; it is shown once
   key withdraw ID --reason WHY     withdraw a key
   key list [--account ACCOUNT]     all keys, without their secrets
   status | versions                state of the instance; versions in force at all instances
@@ -40,8 +41,8 @@
     add("wait-seconds", "longest wait, 1 to 3600", cxxopts::value<int>()->default_value("6"));
     for (const auto& [name, text] :
          {std::pair{"base", "version that the difference was made against, or 'newest'"},
-          std::pair{"summary", "what the change is for, one line"}, std::pair{"for", "who asked for the key"},
-          std::pair{"reason", "why the key is withdrawn"},
+          std::pair{"summary", "what the change is for, one line"},
+          std::pair{"requester", "who asked for the key"}, std::pair{"reason", "why the key is withdrawn"},
           std::pair{"database", "only events of this database"},
           std::pair{"account", "only events or keys of this client account"},
           std::pair{"request", "only events of this request id"}, std::pair{"limit", "number of events"}}) {
@@ -76,7 +77,7 @@
         line.timeout = std::chrono::seconds{parsed["timeout"].as<int>()};
         line.wait_time = std::chrono::seconds{parsed["wait-seconds"].as<int>()};
         for (const auto* name :
-             {"base", "summary", "for", "reason", "database", "account", "request", "limit"}) {
+             {"base", "summary", "requester", "reason", "database", "account", "request", "limit"}) {
             if (parsed.count(name) > 0) {
                 line.options[name] = parsed[name].as<std::string>();
             }
--- a/src/citronlug/commands.cpp
+++ b/src/citronlug/commands.cpp
@@ -119,9 +119,9 @@
 }
 
 auto issue(const command_line& line, command_context& context) -> exit_code {
-    const auto requester = option(line, "for");
+    const auto requester = option(line, "requester");
     if (line.words.size() != 3 || requester.empty()) {
-        return report_usage(context, "key issue ACCOUNT --for 'WHO ASKED' [--wait]");
+        return report_usage(context, "key issue ACCOUNT --requester 'WHO ASKED' [--wait]");
     }
     const auto outcome = context.server.post("/keys", {{"account", QString::fromStdString(line.words[2])},
                                                        {"requester", QString::fromStdString(requester)}});
