--- a/src/citronlugd/control_plane.cpp
+++ b/src/citronlugd/control_plane.cpp
@@ -13,14 +13,9 @@
 constexpr auto timer_interval_ms = 50;
 /// The platform's list is read and this instance announced at this interval.
 constexpr auto listing_interval = 3s;
-/// A read of the configuration at the store proves that it is current for this long.
-constexpr auto store_evidence = 2s;
 /// A judgement of the timer is used no longer than this, so that a paused process does not act on an old one.
 constexpr auto judgement_life = 200ms;
 constexpr auto watch_wait = 20s;
-constexpr auto store_read_interval = 1s;
-/// Instances that watch the configuration at the store.
-constexpr auto relays_per_cell = std::size_t{2};
 constexpr auto standby_interval = 500ms;
 
 auto since_epoch(time_point time) -> std::int64_t {
@@ -57,10 +52,12 @@
     parts(const process_settings& settings, incarnation run)
         : self{settings.instance, run, settings.peer_address, settings.admin_address, settings.domain}
         , node{settings.cell, self, settings.lease, run, clock_now()}
+        , spread{settings.cell, settings.instance, run}
         , store{settings.store_address, settings.instance} {}
 
     cell_member self;
     cell_node node;
+    config_spread spread;
     store_client store;
     QTimer timer;
     std::shared_ptr<const config_state> config;
@@ -71,12 +68,9 @@
     std::uint64_t seen_record = 0;
     std::size_t seen_live = 0;
     time_point next_listing;
-    time_point next_store_read;
     time_point next_standby;
-    time_point store_read_at; ///< request time of the last successful read of the configuration
-    std::uint64_t store_version = 0;
     bool watching = false;
-    bool fetching = false;
+    bool serving = false;
     bool leaving = false;
     bool dirty = true; ///< the view must be published
 };
@@ -160,18 +154,14 @@
     authority_until_ = since_epoch(authority);
     const auto majority = it.node.has_majority(now);
     majority_ = majority;
-    const auto own_version = it.config ? it.config->config.version : 0;
-    auto current = time_point{};
-    if (majority && own_version > 0 && own_version >= it.node.heard_config_version()) {
-        current = now + judgement_life;
-    }
-    if (own_version > 0 && own_version >= it.store_version && it.store_read_at != time_point{}) {
-        current = std::max(current, std::min(it.store_read_at + store_evidence, now + judgement_life));
-    }
+    const auto current = it.spread.is_current(now, majority) ? now + judgement_life : time_point{};
     config_until_ = since_epoch(current);
     handed_over_ = it.leaving && it.node.handed_over();
     const auto live = it.node.live_members(now).size();
     const auto record = it.node.record().version;
+    const auto serving = it.spread.may_serve(now, it.node.record());
+    it.dirty = it.dirty || serving != it.serving;
+    it.serving = serving;
     if (it.dirty || live != it.seen_live || record != it.seen_record) {
         it.seen_live = live;
         it.seen_record = record;
@@ -269,7 +259,7 @@
 
 auto control_plane::take_config(configuration config) -> bool {
     auto& it = *parts_;
-    if (it.config && it.config->config.version >= config.version) {
+    if (!it.spread.on_content(config.version)) {
         return false;
     }
     auto state = std::make_shared<config_state>();
@@ -332,68 +322,89 @@
     }
 }
 
-auto control_plane::spread_config() -> void {
+auto control_plane::on_stored_config(time_point asked_at, const store_reply& reply) -> void {
     auto& it = *parts_;
-    const auto now = clock_now();
-    const auto own_version = it.config ? it.config->config.version : 0;
-    auto live = it.node.live_members(now);
-    std::sort(live.begin(), live.end(), [](const auto& a, const auto& b) { return a.instance < b.instance; });
-    const auto position = std::find_if(live.begin(), live.end(),
-                                       [&](const auto& member) { return member.instance == settings_.instance; });
-    const auto is_relay =
-        position == live.end() || static_cast<std::size_t>(position - live.begin()) < relays_per_cell;
-    auto parse = [this](const store_reply& reply) {
+    if (reply.status == store_status::not_found) {
+        it.spread.on_store_read(asked_at, 0);
+    } else if (reply.status == store_status::ok) {
         auto parsed = parse_configuration(reply.value, reply.version);
         if (auto* config = std::get_if<configuration>(&parsed)) {
             take_config(std::move(*config));
+            it.spread.on_store_read(asked_at, reply.version);
+        } else {
+            events_("", "configuration-unreadable", std::get<failure>(parsed).message);
+        }
+    }
+    after_event();
+}
+
+auto control_plane::address_of(const instance_id& instance) const -> std::optional<std::string> {
+    const auto& members = parts_->node.record().members;
+    const auto member = members.find(instance.value);
+    if (member != members.end()) {
+        return member->second.peer_address;
+    }
+    for (const auto& listed : parts_->listed) {
+        if (listed.instance == instance) {
+            return listed.peer_address;
         }
+    }
+    return std::nullopt;
+}
+
+auto control_plane::spread_config() -> void {
+    auto& it = *parts_;
+    const auto now = clock_now();
+    auto read_store = [this, now] {
+        parts_->store.get(config_key, [this, now](const store_reply& reply) { on_stored_config(now, reply); });
     };
-    if ((own_version == 0 || !it.node.has_majority(now)) && now >= it.next_store_read) {
-        it.next_store_read = now + store_read_interval;
-        it.store.get(config_key, [this, now, parse](const store_reply& reply) {
-            if (reply.status == store_status::ok) {
-                parts_->store_read_at = now;
-                parts_->store_version = reply.version;
-                parse(reply);
-                after_event();
-            }
-        });
+    if (it.spread.poll_due(now, it.node.has_majority(now))) {
+        read_store();
     }
-    if (is_relay && own_version > 0 && !it.watching) {
+    if (!it.watching && it.spread.is_relay(it.node.live_members(now))) {
         it.watching = true;
-        it.store.watch(config_key, own_version, watch_wait, [this, parse](const store_reply& reply) {
+        it.store.watch(config_key, it.spread.held(), watch_wait, [this, now](const store_reply& reply) {
             if (reply.status == store_status::ok) {
-                parse(reply);
-                after_event();
+                on_stored_config(now, reply);
             }
-            if (reply.status == store_status::unavailable) {
-                QTimer::singleShot(500, &parts_->timer, [this] { parts_->watching = false; });
-            } else {
+            // A store that does not answer, or has no object to watch, is asked again after a pause.
+            const auto asked_long = clock_now() - now > watch_wait / 2;
+            if (reply.status == store_status::ok || asked_long) {
                 parts_->watching = false;
+            } else {
+                QTimer::singleShot(500, &parts_->timer, [this] { parts_->watching = false; });
             }
         });
     }
-    if (it.node.heard_config_version() > own_version && !it.fetching) {
-        for (const auto& member : live) {
-            if (member.instance == settings_.instance) {
-                continue;
-            }
-            it.fetching = true;
-            peers_->fetch_config(member.peer_address, own_version, [this](std::optional<config_reply> reply) {
+    if (const auto source = it.spread.fetch(now)) {
+        const auto address = source->peer ? address_of(*source->peer) : std::nullopt;
+        if (!address) {
+            read_store();
+        } else {
+            peers_->fetch_config(*address, it.spread.held(), [this](std::optional<config_reply> reply) {
                 thread_.post([this, reply = std::move(reply)] {
-                    parts_->fetching = false;
-                    if (reply && reply->version > 0) {
-                        auto parsed = parse_configuration(reply->text, reply->version);
-                        if (auto* config = std::get_if<configuration>(&parsed)) {
-                            take_config(std::move(*config));
-                            after_event();
-                        }
+                    if (!parts_ || !reply || reply->version == 0) {
+                        return;
+                    }
+                    auto parsed = parse_configuration(reply->text, reply->version);
+                    if (auto* config = std::get_if<configuration>(&parsed)) {
+                        take_config(std::move(*config));
+                        after_event();
                     }
                 });
             });
-            break;
         }
     }
+    if (const auto other = it.spread.exchange_with(now, it.listed)) {
+        peers_->config_version(other->peer_address,
+                               [this, from = other->instance](std::optional<std::uint64_t> version) {
+                                   thread_.post([this, from, version] {
+                                       if (parts_ && version) {
+                                           parts_->spread.on_peer_version(clock_now(), from, *version);
+                                       }
+                                   });
+                               });
+    }
 }
 
 auto control_plane::refresh_listing() -> void {
@@ -420,7 +431,7 @@
         }
     }
     next->live_instances = static_cast<std::uint32_t>(std::max<std::size_t>(1, it.seen_live));
-    next->serving = it.config != nullptr;
+    next->serving = it.serving && it.config != nullptr;
     next->leaving = it.leaving;
     {
         const auto lock = std::lock_guard{guard_};
@@ -432,7 +443,9 @@
 auto control_plane::on_peer_message(peer_message message) -> void {
     thread_.post([this, message = std::move(message)] {
         if (parts_) {
-            parts_->node.on_peer_message(clock_now(), message);
+            const auto now = clock_now();
+            parts_->spread.on_peer_message(now, message);
+            parts_->node.on_peer_message(now, message);
             after_event();
         }
     });
@@ -521,14 +534,8 @@
                 done(failure{failure_code::store_unavailable, "the platform store does not answer", 1s});
                 return;
             }
-            auto parsed = parse_configuration(reply.value, reply.version);
-            if (auto* config = std::get_if<configuration>(&parsed)) {
-                parts_->store_read_at = asked;
-                parts_->store_version = reply.version;
-                take_config(*config);
-                after_event();
-            }
-            done(std::move(parsed));
+            on_stored_config(asked, reply);
+            done(parse_configuration(reply.value, reply.version));
         });
     });
 }
--- a/src/citronlugd/control_plane.h
+++ b/src/citronlugd/control_plane.h
@@ -8,6 +8,7 @@
 #include <citronlug/accountant.h>
 #include <citronlug/cell_node.h>
 #include <citronlug/config.h>
+#include <citronlug/config_spread.h>
 #include <citronlug/settings.h>
 
 #include <atomic>
@@ -96,6 +97,9 @@
     auto take_config(configuration config) -> bool;
     auto apply_roles() -> void;
     auto spread_config() -> void;
+    /// Takes over what a read of the store, asked at `asked_at`, found.
+    auto on_stored_config(time_point asked_at, const store_reply& reply) -> void;
+    [[nodiscard]] auto address_of(const instance_id& instance) const -> std::optional<std::string>;
     auto refresh_listing() -> void;
     auto publish() -> void;
     auto settings_of(const database_id& database) const -> std::optional<database_settings>;
--- a/src/citronlugd/entry.cpp
+++ b/src/citronlugd/entry.cpp
@@ -206,42 +206,47 @@
         refuse(it, failure{failure_code::rate_limited, "too many requests of the client account are waiting", 1s});
         return;
     }
-    state->waiting.push_back(it);
-    pump(it->work.account, *state);
+    const auto account = it->work.account;
+    if (!try_tokens(it, *state)) {
+        state->waiting.push_back(it);
+    }
+    ask_if_wanted(account, *state);
 }
 
-auto entry::pump(const account_id& account, account_state& state) -> void {
+auto entry::try_tokens(const call_pointer& it, account_state& state) -> bool {
     const auto now = clock_now();
-    auto wants_tokens = false;
-    auto blocked = false;
-    while (!state.waiting.empty() && !blocked) {
-        const auto it = state.waiting.front();
-        if (it->finished) {
-            state.waiting.pop_front();
-            continue;
-        }
-        if (now >= it->work.deadline) {
-            state.waiting.pop_front();
-            refuse(it, failure{failure_code::rate_limited, "no token of the rate limit within the deadline", 500ms});
-            continue;
-        }
-        switch (state.policy->admit(now, it->work.deadline)) {
-        case admission::admitted:
-            state.waiting.pop_front();
-            dispatch(it);
-            break;
-        case admission::refused:
-            state.waiting.pop_front();
-            refuse(it, failure{failure_code::rate_limited, "the client account is over its rate", 1s});
-            break;
-        case admission::ask:
-            wants_tokens = true;
-            blocked = true;
-            break;
-        case admission::wait: blocked = true; break;
+    if (it->finished) {
+        return true;
+    }
+    if (now >= it->work.deadline) {
+        refuse(it, failure{failure_code::rate_limited, "no token of the rate limit within the deadline", 500ms});
+        return true;
+    }
+    switch (state.policy->admit(now, it->work.deadline)) {
+    case admission::admitted: dispatch(it); return true;
+    case admission::refused:
+        refuse(it, failure{failure_code::rate_limited, "the client account is over its rate", 1s});
+        return true;
+    case admission::ask: state.wanted = true; return false;
+    case admission::wait: return false;
+    }
+    return false;
+}
+
+auto entry::pump(const account_id& account, account_state& state) -> void {
+    auto waiting = std::deque<call_pointer>{};
+    waiting.swap(state.waiting);
+    for (auto& it : waiting) {
+        if (!try_tokens(it, state)) {
+            state.waiting.push_back(std::move(it));
         }
     }
-    if (wants_tokens && !state.asking && now >= state.next_question) {
+    ask_if_wanted(account, state);
+}
+
+auto entry::ask_if_wanted(const account_id& account, account_state& state) -> void {
+    if (state.wanted) {
+        state.wanted = false;
         ask(account, state);
     }
 }
@@ -249,25 +254,18 @@
 auto entry::ask(const account_id& account, account_state& state) -> void {
     const auto now = clock_now();
     const auto wanted = state.policy->ask_size(now);
-    if (wanted == 0) {
-        return;
-    }
     const auto location = control_.locate(role_id{role_kind::account, account.value});
     if (!location) {
         state.policy->on_grant_failed(now);
-        state.next_question = now + retry_interval;
         return;
     }
-    state.asking = true;
-    state.asked_at = now;
-    const auto deadline = now + grant_life;
     if (location->holder == self_) {
         control_.take_grant(account, wanted, [this, account, now](grant_reply reply) {
             queue_.post([this, account, now, reply] { on_grant(account, now, reply); });
         });
         return;
     }
-    peers_.take_grant(location->peer_address, account, wanted, deadline,
+    peers_.take_grant(location->peer_address, account, wanted, now + grant_life,
                       [this, account, now](std::optional<grant_reply> reply) {
                           queue_.post([this, account, now, reply] { on_grant(account, now, reply); });
                       });
@@ -280,12 +278,10 @@
     }
     auto& state = found->second;
     const auto now = clock_now();
-    state.asking = false;
     if (reply && reply->held) {
         state.policy->on_grant(now, asked_at, reply->tokens, reply->wait);
     } else {
         state.policy->on_grant_failed(now);
-        state.next_question = now + retry_interval / 2;
     }
     pump(account, state);
 }
@@ -441,7 +437,7 @@
 auto entry::on_timer() -> void {
     const auto now = clock_now();
     for (auto& [account, state] : accounts_) {
-        if (!state.waiting.empty()) {
+        if (!state.waiting.empty() && now >= state.policy->retry_at(now)) {
             pump(account, state);
         }
     }
--- a/src/citronlugd/entry.h
+++ b/src/citronlugd/entry.h
@@ -48,13 +48,15 @@
         rate_limit limit;
         std::uint32_t instances = 0;
         std::deque<call_pointer> waiting;
-        bool asking = false;
-        time_point asked_at;
-        time_point next_question;
+        bool wanted = false; ///< the policy wants the accountant asked
     };
 
     auto prepare(const http_request& incoming, call& it) -> std::optional<failure>;
     auto admit(const call_pointer& it) -> void;
+    /// True if the request is no longer waiting: it was admitted, refused or has ended.
+    auto try_tokens(const call_pointer& it, account_state& state) -> bool;
+    auto ask_if_wanted(const account_id& account, account_state& state) -> void;
+    /// Tries the waiting requests again, in order.
     auto pump(const account_id& account, account_state& state) -> void;
     auto ask(const account_id& account, account_state& state) -> void;
     auto on_grant(const account_id& account, time_point asked_at, std::optional<grant_reply> reply) -> void;
--- a/src/citronlugd/peer_rpc.cpp
+++ b/src/citronlugd/peer_rpc.cpp
@@ -31,6 +31,9 @@
 /// With only long calls under way, a ping is sent after this time without an answer.
 constexpr auto ping_delay = 400ms;
 constexpr auto check_interval_ms = 100;
+/// A call that cannot be sent for this long is reported as not sent, so that the caller can look for another
+/// instance.
+constexpr auto send_limit = 300ms;
 constexpr auto max_waiting_calls = std::size_t{10'000};
 /// Answers up to 64 MB.
 constexpr auto traversal_words = std::uint64_t{1} << 23U;
@@ -191,7 +194,7 @@
                 return;
             }
             to.waiting.push_back(
-                waiting_call{deadline, send, [fail]() mutable { fail(call_failure::not_sent); }});
+                waiting_call{std::min(deadline, clock_now() + send_limit), send, [fail]() mutable { fail(call_failure::not_sent); }});
             connect(to);
         });
     }
@@ -310,7 +313,16 @@
                         }
                     }
                 })
-                .catch_([this, &to](kj::Exception&& /*error*/) { post([this, &to] { drop(to); }); })
+                .catch_([this, &to](kj::Exception&& /*error*/) {
+                    post([this, &to] {
+                        drop(to);
+                        auto waiting = std::move(to.waiting);
+                        to.waiting.clear();
+                        for (auto& it : waiting) {
+                            it.fail();
+                        }
+                    });
+                })
                 .eagerlyEvaluate(nullptr);
     }
 
