Report the refusal of a live server rather than the silence of a dead one

Seen with two of three instances down: rules apply only said that a connection was refused, not that the remaining instance has no majority.

--- a/src/citronlug/command_line_test.cpp
+++ b/src/citronlug/command_line_test.cpp
@@ -230,7 +230,7 @@
                                     "{\"error\":{\"code\":\"no-authority\"}}  "};
     auto unsure = http_client{{silent.address(), refusing.address()}, "secret", 2s};
     CHECK(unsure.post("/keys", {}).status == call_status::unanswered);
-    auto refused = http_client{{refusing.address()}, "secret", 2s};
+    auto refused = http_client{{refusing.address(), "127.0.0.1:1"}, "secret", 2s}; // the reason counts more
     CHECK_EQUAL(503, refused.post("/keys", {}).http_status);
 }
 
--- a/src/citronlug/commands.cpp
+++ b/src/citronlug/commands.cpp
@@ -289,7 +289,8 @@
     if (line.json) {
         print_json(context, answer);
     } else {
-        fmt::print(context.err, "version {} is accepted\n", version);
+        fmt::print(context.err, "version {} {}\n", version,
+                   answer.value("already").toBool() ? "has it already" : "is accepted");
         if (in_force) {
             fmt::print(context.err, "version {} is in force at all instances\n", version);
         }
--- a/src/citronlug/http_client.cpp
+++ b/src/citronlug/http_client.cpp
@@ -63,6 +63,7 @@
 auto http_client::call_servers(const QString& path, const std::optional<QByteArray>& body) -> call_result {
     auto outcome = call_result{};
     auto unanswered = std::optional<call_result>{};
+    auto refused = std::optional<call_result>{};
     for (std::size_t n = 0; n < servers_.size(); ++n) {
         outcome = call(servers_[next_], path, body);
         if (outcome.status == call_status::answered && !is_refused_for_now(outcome)) {
@@ -70,11 +71,13 @@
         }
         if (outcome.status == call_status::unanswered) {
             unanswered = outcome;
+        } else if (outcome.status == call_status::answered) {
+            refused = outcome;
         }
         next_ = (next_ + 1) % servers_.size();
     }
     // A refusal by one server says nothing about a change that another one may have made.
-    return unanswered.value_or(outcome);
+    return unanswered ? *unanswered : refused.value_or(outcome);
 }
 
 auto http_client::call(const std::string& server, const QString& path, const std::optional<QByteArray>& body)
--- a/src/citronlug/rule_commands.cpp
+++ b/src/citronlug/rule_commands.cpp
@@ -168,7 +168,8 @@
         return exit_code::done;
     }
     // Standard output holds the file only, so that it can be edited and applied.
-    context.out << body.value("text").toString().toStdString();
+    const auto text = body.value("text").toString().toStdString();
+    context.out << text << (text.empty() || text.ends_with('\n') ? "" : "\n") << std::flush;
     fmt::print(context.err, "version {}{}\n", body.value("version").toInteger(),
                body.value("from_store").toBool()
                    ? ""
