--- a/src/citronlugd/entry.cpp
+++ b/src/citronlugd/entry.cpp
@@ -24,6 +24,12 @@
     return secret + "/transaction";
 }
 
+/// The addressed instance does not act for the database; another one does, or soon will.
+auto is_about_holder(failure_code code) -> bool {
+    return code == failure_code::not_holder || code == failure_code::shutting_down ||
+           code == failure_code::no_authority;
+}
+
 auto database_role(const database_id& database) -> role_id {
     return {role_kind::database, database.value};
 }
@@ -345,12 +351,14 @@
         return;
     }
     auto& [value, epoch] = std::get<std::pair<answer, epoch_number>>(reply);
-    if (value.outcome == verdict::not_run && value.error && value.error->code == failure_code::not_holder) {
+    if (value.outcome == verdict::not_run && value.error && is_about_holder(value.error->code)) {
         if (starts_fresh) {
             retry_later(it);
             return;
         }
-        value.error = failure{failure_code::transaction_ended, "the holder of the transaction has changed", {}};
+        if (value.error->code == failure_code::not_holder) {
+            value.error = failure{failure_code::transaction_ended, "the holder of the transaction has changed", {}};
+        }
     }
     if (value.outcome == verdict::done && work.mode == access_mode::write) {
         const auto location = control_.locate(database_role(work.database));
--- /dev/null
+++ b/testsuite/holder-killed/run.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# The holder is killed. The standby takes over within the bound of 8 s, a write before the kill is read by its
+# session elsewhere, and a repeated request is not run twice.
+cd "$(dirname "$0")/../.."
+. testsuite/lib.sh
+start_fleet
+order "$holder" before
+expect "order through the holder" 200 "$status"
+session=$(text_of session "$reply")
+start=$(now_ms)
+stop_hard "$holder"
+order "${others[0]}" after
+took=$(($(now_ms) - start))
+expect "order after the holder was killed" 200 "$status"
+[ "$took" -lt 8000 ] || die "takeover took $took ms"
+echo "takeover: $took ms"
+read_order "${others[1]}" before "$session"
+expect "the session reads its write on another instance" '"rows":[["before","paid"]]' "$(grep -o '"rows":.*\]\]' <<<"$reply")"
+order "${others[1]}" before
+expect "a repeated request is answered" 200 "$status"
+[[ $reply == *'"replayed":true'* ]] || die "the repeated request was run again: $reply"
