--- a/src/bench/bench.sh
+++ b/src/bench/bench.sh
@@ -21,7 +21,7 @@
 esac
 
 run_experiment() (
-    local experiment=$1 args=()
+    experiment=$1 args=()
     case "$experiment" in
         calm) ;;
         overload) args=(--overload "$heavy" --factor 8) ;;
@@ -33,10 +33,11 @@
         lose-answers) args=(--fault "lose-answers@4+1:5") ;;
         *) args=(--fault "$experiment@4+8") ;;
     esac
+    export CITRONLUG_BIN=$build
     source "$here/cluster.sh"
-    cluster_start "$build" "$(mktemp -d)"
-    "$build/src/bench/citronlug-bench" --mode prepare --profile "$here/profiles/$profile.json" --cluster "$data/cluster.json"
-    "$build/src/bench/citronlug-bench" --profile "$here/profiles/$profile.json" --cluster "$data/cluster.json" \
+    start_cluster
+    "$build/src/bench/citronlug-bench" --mode prepare --profile "$here/profiles/$profile.json" --cluster "$work/cluster.json"
+    "$build/src/bench/citronlug-bench" --profile "$here/profiles/$profile.json" --cluster "$work/cluster.json" \
         --seconds "$seconds" --seed "$seed" --json "$out/$experiment.json" ${args[@]+"${args[@]}"} | tee "$out/$experiment.txt"
 )
 
