--- a/src/bench/load.cpp
+++ b/src/bench/load.cpp
@@ -24,6 +24,9 @@
 constexpr duration ticker_interval = 50ms;
 constexpr int max_attempts = 4;
 constexpr duration drain_time = 6s;
+/// The balancer before the instances asks each for its health at this interval.
+constexpr duration health_interval = 500ms;
+constexpr duration health_timeout = 1s;
 /// The account that the ticker's writes belong to; it has a rate far above its need.
 constexpr std::string_view ticker_account = "ticker";
 
@@ -94,6 +97,7 @@
             }
         }
         ticker_values_.assign(fleet.databases.size(), 0);
+        healthy_.assign(fleet.instances.size(), true);
     }
 
     auto prepare() -> result<std::size_t> {
@@ -128,6 +132,9 @@
         for (const auto& it : options_.faults) {
             schedule(it.at, [this, it] { start_fault(it); });
         }
+        for (std::size_t n = 0; n < fleet_.instances.size(); ++n) {
+            schedule_health_check(n, duration{});
+        }
         auto next_progress = duration{1s};
         while (now() < options_.length + drain_time && (now() < options_.length || busy())) {
             run_due_events();
@@ -209,6 +216,29 @@
         });
     }
 
+    auto schedule_health_check(std::size_t instance, duration at) -> void {
+        if (at >= options_.length) {
+            return;
+        }
+        schedule(at, [this, instance, at] {
+            http_.send(
+                "GET", fleet_.instances[instance].caller_url + "/healthz", {}, "", health_timeout,
+                [this, instance](const http_answer& answer) { healthy_[instance] = answer.status == 200; });
+            schedule_health_check(instance, at + health_interval);
+        });
+    }
+
+    /// Draws one of the instances that the balancer holds for healthy; any instance if there is none.
+    [[nodiscard]] auto draw_instance() -> std::size_t {
+        auto choices = std::vector<std::size_t>{};
+        for (std::size_t n = 0; n < healthy_.size(); ++n) {
+            if (healthy_[n]) {
+                choices.push_back(n);
+            }
+        }
+        return choices.empty() ? random_() % healthy_.size() : choices[random_() % choices.size()];
+    }
+
     auto start_fault(const fault& what) -> void {
         outcome_.faults.push_back(injector_.inject(what, now()));
         const auto n = outcome_.faults.size() - 1;
@@ -282,7 +312,7 @@
         auto& record = work->record;
         ++record.attempt;
         record.sent = now();
-        record.instance = random_() % fleet_.instances.size();
+        record.instance = draw_instance();
         auto parameters = std::string{};
         for (const auto& it : work->parameters) {
             parameters += fmt::format("{}\"{}\"", parameters.empty() ? "" : ",", it);
@@ -387,6 +417,7 @@
     std::map<account_id, ideal_bucket> buckets_;
     std::map<std::pair<account_id, std::size_t>, std::vector<session_state>> sessions_;
     std::vector<std::int64_t> ticker_values_;
+    std::vector<bool> healthy_; ///< by instance
     load_outcome outcome_;
 };
 
--- a/src/bench/report.h
+++ b/src/bench/report.h
@@ -18,8 +18,11 @@
     std::uint64_t done = 0;
     std::uint64_t not_run = 0;
     std::uint64_t unknown = 0;
-    std::uint64_t wrongful_refusals = 0; ///< not run although within the rate
-    latency_histogram latency;           ///< of done operations, from the intended start
+    std::uint64_t within_rate = 0; ///< arrivals that an ideal bucket of the account's rate admits
+    /// Refusals by which the account got less than its rate: an account above its rate is refused as often as
+    /// it exceeds it, whichever of its requests that meets.
+    std::uint64_t wrongful_refusals = 0;
+    latency_histogram latency; ///< of done operations, from the intended start
 };
 
 /// Longest time without an acknowledged write on a database after a fault.
