--- a/src/standin/database_standin.cpp
+++ b/src/standin/database_standin.cpp
@@ -227,7 +227,13 @@
                                    {"entries", entries},
                                    {"truncated", truncated}});
     }
-    return {{"members", list}};
+    auto promotions = QJsonArray{};
+    for (const auto& it : shared_.group.promotions()) {
+        promotions.push_back(QJsonObject{{"term", number(it.term)},
+                                         {"member", static_cast<int>(it.member)},
+                                         {"at_us", static_cast<qint64>(it.at.time_since_epoch().count())}});
+    }
+    return {{"members", list}, {"promotions", promotions}};
 }
 
 auto database_standin::startups_json(const QHttpServerRequest& request) const -> QJsonObject {
--- a/src/standin/group.cpp
+++ b/src/standin/group.cpp
@@ -65,7 +65,8 @@
     return member.position();
 }
 
-auto replication_group::promote(std::size_t n, term_number expected) -> std::variant<term_number, sql_error> {
+auto replication_group::promote(time_point now, std::size_t n, term_number expected)
+    -> std::variant<term_number, sql_error> {
     auto& member = members_[n];
     if (member.known_term != expected) {
         return sql_error{"55000",
@@ -84,6 +85,7 @@
     member.following = std::nullopt;
     member.known_term = expected + 1;
     member.history.push_back({member.known_term, member.position()});
+    promotions_.push_back({member.known_term, n, now});
     return member.known_term;
 }
 
--- a/src/standin/group.h
+++ b/src/standin/group.h
@@ -55,6 +55,13 @@
     [[nodiscard]] auto history_text() const -> std::string; ///< "term:start,term:start"
 };
 
+/// A member became primary of a term.
+struct promotion {
+    term_number term = 0;
+    std::size_t member = 0;
+    time_point at;
+};
+
 /// Table that records the ids of requests, present from the start.
 inline constexpr const char* request_table = "citronlug_requests";
 
@@ -74,7 +81,9 @@
     [[nodiscard]] auto commit(time_point now, std::size_t n, const transaction& work)
         -> std::variant<log_position, sql_error>;
     /// Makes the member primary of `expected + 1`.
-    [[nodiscard]] auto promote(std::size_t n, term_number expected) -> std::variant<term_number, sql_error>;
+    [[nodiscard]] auto promote(time_point now, std::size_t n, term_number expected)
+        -> std::variant<term_number, sql_error>;
+    [[nodiscard]] auto promotions() const -> const std::vector<promotion>& { return promotions_; }
     /// Makes the member a replica of the member with this address, which must be primary of `term` or later
     /// before anything is replicated.
     [[nodiscard]] auto follow(std::size_t n, const std::string& address, term_number term)
@@ -88,6 +97,7 @@
     static auto truncate(group_member& member, std::size_t length) -> void;
 
     std::vector<group_member> members_;
+    std::vector<promotion> promotions_;
 };
 
 } // namespace citronlug::standin
--- a/src/standin/group_test.cpp
+++ b/src/standin/group_test.cpp
@@ -120,7 +120,7 @@
     group.member(0).cut_off = true;
     write(0, "update t set v = 2 where k = 'a'");
     write(0, "insert into t values ('lost', 1)");
-    CHECK(std::get<term_number>(group.promote(1, 1)) == 2);
+    CHECK(std::get<term_number>(group.promote(at(0ms), 1, 1)) == 2);
     write(1, "insert into t values ('b', 1)");
     CHECK(!group.follow(0, "m1", 2));
     CHECK_EQUAL(3, group.member(0).position());
@@ -135,7 +135,7 @@
 
 // Guards against a replica that replicates from a superseded primary.
 TEST(change_of_primary, replica_refuses_entries_of_an_older_term) {
-    CHECK(succeeds(group.promote(1, 1)));
+    CHECK(succeeds(group.promote(at(0ms), 1, 1)));
     CHECK(!group.follow(2, "m1", 2));
     CHECK(group.follow(2, "m0", 1).has_value());
     CHECK(!group.follow(2, "m0", 3));
@@ -145,22 +145,22 @@
 }
 
 TEST(change_of_primary, promotion_checks_term_and_data) {
-    CHECK(std::holds_alternative<sql_error>(group.promote(1, 2)));
+    CHECK(std::holds_alternative<sql_error>(group.promote(at(0ms), 1, 2)));
     group.member(2).lag = 1s;
     write(0, "insert into t values ('a', 1)");
     group.replicate(at(0ms));
-    CHECK(std::get<term_number>(group.promote(1, 1)) == 2);
-    CHECK(std::holds_alternative<sql_error>(group.promote(2, 1)));
+    CHECK(std::get<term_number>(group.promote(at(0ms), 1, 1)) == 2);
+    CHECK(std::holds_alternative<sql_error>(group.promote(at(0ms), 2, 1)));
     CHECK(!group.follow(2, "m1", 2));
     group.replicate(at(0ms)); // knows the history, but not yet the first entry
-    CHECK(std::get<sql_error>(group.promote(2, 2)).message == "the member lacks data of term 2");
+    CHECK(std::get<sql_error>(group.promote(at(0ms), 2, 2)).message == "the member lacks data of term 2");
 }
 
 // Guards against a commit by a transaction that began its writes under an earlier term.
 TEST(change_of_primary, transaction_does_not_outlive_the_term) {
     auto work = transaction{};
     run(0, work, "insert into t values ('a', 1)");
-    CHECK(succeeds(group.promote(1, 1)));
+    CHECK(succeeds(group.promote(at(0ms), 1, 1)));
     CHECK(!group.follow(0, "m1", 2));
     CHECK(std::get<sql_error>(commit(0, work)).sqlstate == "25006");
 }
@@ -191,7 +191,7 @@
             } else if (step < 15) {
                 group.replicate(at(0ms));
             } else if (const auto old = group.member(primary).known_term;
-                       n != primary && std::holds_alternative<term_number>(group.promote(n, old))) {
+                       n != primary && std::holds_alternative<term_number>(group.promote(at(0ms), n, old))) {
                 primary = n;
                 for (auto other = std::size_t{0}; other < 3; ++other) {
                     if (other != n) {
--- a/src/standin/session.cpp
+++ b/src/standin/session.cpp
@@ -470,7 +470,7 @@
         if (!expected) {
             return sql_error{"22P02", "the expected term is no number"};
         }
-        const auto outcome = group.promote(host_.member_number(), *expected);
+        const auto outcome = group.promote(host_.now(), host_.member_number(), *expected);
         if (const auto* error = std::get_if<sql_error>(&outcome)) {
             return *error;
         }
--- a/src/standin/store_standin_test.cpp
+++ b/src/standin/store_standin_test.cpp
@@ -26,9 +26,10 @@
               const std::string& client = "i1") {
         socket_.connectToHost("127.0.0.1", port);
         socket_.waitForConnected(1000);
-        socket_.write(fmt::format("{} {} HTTP/1.1\r\nHost: t\r\nX-Instance: {}\r\nContent-Length: {}\r\n\r\n{}", method,
-                                  path, client, body.size(), body)
-                          .c_str());
+        socket_.write(
+            fmt::format("{} {} HTTP/1.1\r\nHost: t\r\nX-Instance: {}\r\nContent-Length: {}\r\n\r\n{}", method,
+                        path, client, body.size(), body)
+                .c_str());
         socket_.flush();
     }
 
@@ -70,7 +71,8 @@
     }
 
     auto call(const char* method, const std::string& path, const std::string& body = "",
-              const std::string& client = "i1")->http_reply {
+              const std::string& client = "i1")
+        ->http_reply {
         return http_call{port, method, path, body, client}.reply(300);
     }
     auto put(std::uint64_t expected, const std::string& value)->int {
@@ -81,7 +83,9 @@
     auto value()->std::string {
         return call("GET", "/objects/cells/c1").body.object()["value"].toString().toStdString();
     }
-    auto fault(const std::string& json)->void { CHECK_EQUAL(200, call("POST", "/fault", json).status); }
+    auto fault(const std::string& json)->void {
+        CHECK_EQUAL(200, call("POST", "/fault", json).status);
+    }
 };
 
 TEST(platform_store, conditional_updates) {
@@ -164,7 +168,8 @@
     CHECK(call("GET", "/instances").body.array().isEmpty());
     QThread::msleep(40);
     const auto entry = call("GET", "/instances", "", "i2").body.array()[0].toObject();
-    CHECK(entry["instance"].toString() == "i1" && entry["domain"].toString() == "d1" && entry["leaving"].toBool());
+    CHECK(entry["instance"].toString() == "i1" && entry["domain"].toString() == "d1" &&
+          entry["leaving"].toBool());
     CHECK_EQUAL(200, call("DELETE", "/instances/i1").status);
     const auto counters = call("GET", "/counters").body.object();
     CHECK_EQUAL(2, counters["calls"].toObject()["list"].toInt());
