--- a/src/bench/checker.cpp
+++ b/src/bench/checker.cpp
@@ -97,7 +97,9 @@
 
     /// The log that counts is the one of the newest term; within a term the longest one.
     auto read_logs() -> void {
-        for (const auto& [database, members] : logs_) {
+        for (const auto& group : logs_) {
+            const auto& database = group.first;
+            const auto& members = group.second;
             const auto rank = [](const member_log* it) {
                 return std::pair{it->term, it->entries.empty() ? log_position{0} : it->entries.back().at.log};
             };
--- a/src/bench/checker.h
+++ b/src/bench/checker.h
@@ -58,7 +58,7 @@
     std::vector<std::string> rows; ///< "table/key" of the changed rows
 };
 
-/// Log of one member at the end of the run.
+/// Log of one member at the end of the run, read after the last answer.
 struct member_log {
     database_id database;
     std::string member;
