--- a/src/libcitronlug/cell_simulation.h
+++ b/src/libcitronlug/cell_simulation.h
@@ -13,11 +13,12 @@
     std::string id;
     std::string domain;
     double clock_rate = 1.0;
+    time_point true_start = at(0ms); ///< moment at which the local clock showed `local_start`
+    time_point local_start = at(0ms);
     std::unique_ptr<cell_node> node; ///< null while it is down
     incarnation run = 0;
     time_point paused_until;
     bool reaches_store = true;
-    std::deque<std::function<void()>> backlog; ///< events that arrived during a pause
     std::map<role_id, epoch_number> held;
     time_point believes_until; ///< true time
     int store_calls = 0;
@@ -65,17 +66,27 @@
     [[nodiscard]] auto uniform() -> double { return std::uniform_real_distribution<>{}(random_); }
     [[nodiscard]] auto below(int n) -> int { return std::uniform_int_distribution<>{0, n - 1}(random_); }
     [[nodiscard]] auto local(std::size_t n) const -> time_point {
-        return at(std::chrono::duration_cast<duration>((now - at(0ms)) * nodes[n]->clock_rate));
+        const auto& it = *nodes[n];
+        return it.local_start + std::chrono::duration_cast<duration>((now - it.true_start) * it.clock_rate);
     }
     [[nodiscard]] auto true_time(std::size_t n, time_point t) const -> time_point {
-        return at(std::chrono::duration_cast<duration>((t - at(0ms)) / nodes[n]->clock_rate));
+        const auto& it = *nodes[n];
+        return it.true_start + std::chrono::duration_cast<duration>((t - it.local_start) / it.clock_rate);
+    }
+    /// Changes the rate of a clock, which goes on from its present time.
+    auto set_rate(std::size_t n, double rate) -> void {
+        nodes[n]->local_start = local(n);
+        nodes[n]->true_start = now;
+        nodes[n]->clock_rate = rate;
+    }
+    auto set_roles(std::size_t n) -> void {
+        deliver(n, nodes[n]->run, [this, n] { nodes[n]->node->set_roles(local(n), roles); });
     }
 
     auto start(std::size_t n) -> void {
         auto& it = *nodes[n];
         it.run = random_();
         it.held.clear();
-        it.backlog.clear();
         it.paused_until = now;
         it.believes_until = at(0ms);
         auto self =
@@ -210,6 +221,13 @@
                 call_store(n, put->call, *put);
             } else if (auto* gained = std::get_if<role_gained>(&action)) {
                 it.held[gained->role] = gained->epoch;
+                auto& newest = epochs_[gained->role];
+                if (gained->epoch <= newest) {
+                    faults.push_back(fmt::format("{} us: {} gains {} with the old epoch {}",
+                                                 (now - at(0ms)).count(), it.id, gained->role.name,
+                                                 gained->epoch));
+                }
+                newest = std::max(newest, gained->epoch);
             } else if (auto* lost = std::get_if<role_lost>(&action)) {
                 it.held.erase(lost->role);
             } else if (auto* event = std::get_if<cell_event>(&action)) {
@@ -292,6 +310,7 @@
     std::priority_queue<entry> queue_;
     std::uint64_t sequence_ = 0;
     std::string value_;
+    std::map<role_id, epoch_number> epochs_;
 };
 
 inline auto database_role(const std::string& name) -> role_id {
