--- a/src/citronlug/command_line_test.cpp
+++ b/src/citronlug/command_line_test.cpp
@@ -166,10 +166,10 @@
 
 TEST(command_line_tool, prints_a_new_key_alone_on_standard_output) {
     server.answers["/keys"] = {reply(R"({"version": 8, "confirmed": true, "id": "1", "key": "ck_1_2"})")};
-    CHECK_EQUAL(0, run({"key", "issue", "shop", "--for", "Sales"}));
+    CHECK_EQUAL(0, run({"key", "issue", "shop", "--requester", "Sales"}));
     CHECK_EQUAL(std::string{"ck_1_2\n"}, out.str());
     server.answers["/keys"] = {reply(R"({"version": 8, "confirmed": true, "repeated": true})")};
-    CHECK_EQUAL(1, run({"key", "issue", "shop", "--for", "Sales"}));
+    CHECK_EQUAL(1, run({"key", "issue", "shop", "--requester", "Sales"}));
     CHECK(warned("withdraw it"));
 }
 
