--- a/src/citronlug/http_client.cpp
+++ b/src/citronlug/http_client.cpp
@@ -98,7 +98,9 @@
     auto outcome = call_result{};
     outcome.server = server;
     outcome.http_status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    outcome.body = reply->readAll();
+    if (reply->isOpen()) { // it is closed after a timeout
+        outcome.body = reply->readAll();
+    }
     // An HTTP status with a broken body is no answer; HTTP errors such as 409 are answers.
     const auto error = reply->error();
     const auto complete = error == QNetworkReply::NoError || error > QNetworkReply::ProxyTimeoutError;
