--- a/src/citronlugd/control_plane.cpp
+++ b/src/citronlugd/control_plane.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 
-constexpr auto timer_interval_ms = 50;
+constexpr auto timer_interval_ms = 100;
 /// The platform's list is read and this instance announced at this interval.
 constexpr auto listing_interval = 3s;
 /// A judgement of the timer is used no longer than this, so that a paused process does not act on an old one.
-constexpr auto judgement_life = 200ms;
+constexpr auto judgement_life = 300ms;
 constexpr auto watch_wait = 20s;
 constexpr auto standby_interval = 500ms;
 
@@ -30,6 +30,11 @@
     return hash;
 }
 
+auto is_answer(const peer_message& message) -> bool {
+    return std::holds_alternative<heartbeat_answer>(message) || std::holds_alternative<promise_answer>(message) ||
+           std::holds_alternative<table_answer>(message) || std::holds_alternative<record_answer>(message);
+}
+
 } // namespace
 
 auto shard_index(const database_id& database, std::size_t shards) -> std::size_t {
@@ -71,6 +76,8 @@
     time_point next_standby;
     bool watching = false;
     bool serving = false;
+    instance_id reply_to;              ///< sender of the message under work
+    std::vector<peer_message> replies; ///< answers to it
     bool leaving = false;
     bool dirty = true; ///< the view must be published
 };
@@ -183,7 +190,11 @@
             after_event();
         });
     } else if (const auto* send = std::get_if<send_peer>(&action)) {
-        peers_->send_cell(send->address, send->message, stamp_());
+        if (send->to == it.reply_to && is_answer(send->message)) {
+            it.replies.push_back(send->message);
+        } else {
+            peers_->send_cell(send->address, send->message, stamp_());
+        }
     } else if (const auto* gained = std::get_if<role_gained>(&action)) {
         role_changed(*gained);
     } else if (const auto* lost = std::get_if<role_lost>(&action)) {
@@ -440,13 +451,20 @@
     on_change_();
 }
 
-auto control_plane::on_peer_message(peer_message message) -> void {
-    thread_.post([this, message = std::move(message)] {
+auto control_plane::on_peer_message(peer_message message, std::function<void(std::vector<peer_message>)> reply)
+    -> void {
+    thread_.post([this, message = std::move(message), reply = std::move(reply)] {
         if (parts_) {
+            parts_->reply_to = std::visit([](const auto& it) { return it.from; }, message);
             const auto now = clock_now();
             parts_->spread.on_peer_message(now, message);
             parts_->node.on_peer_message(now, message);
             after_event();
+            parts_->reply_to = instance_id{};
+            if (reply) {
+                reply(std::move(parts_->replies));
+            }
+            parts_->replies.clear();
         }
     });
 }
--- a/src/citronlugd/control_plane.h
+++ b/src/citronlugd/control_plane.h
@@ -71,7 +71,8 @@
     [[nodiscard]] auto config_current_until() const -> time_point;
     [[nodiscard]] auto locate(const role_id& role) const -> std::optional<role_location>;
 
-    auto on_peer_message(peer_message message) -> void;
+    /// `reply` receives the answers to the message.
+    auto on_peer_message(peer_message message, std::function<void(std::vector<peer_message>)> reply) -> void;
     auto take_grant(const account_id& account, std::uint32_t wanted, std::function<void(grant_reply)> done) -> void;
     auto give_back(const account_id& account, std::uint32_t tokens, duration age) -> void;
 
--- a/src/citronlugd/daemon.cpp
+++ b/src/citronlugd/daemon.cpp
@@ -83,10 +83,12 @@
 
 auto daemon::services() -> peer_services {
     auto services = peer_services{};
-    services.cell_message = [this](peer_message message, const hybrid_time& at) {
+    services.cell_message = [this](peer_message message, const hybrid_time& at,
+                                   std::function<void(std::vector<peer_message>)> reply) {
         timeline_.observe(at, wall_us());
-        control_->on_peer_message(std::move(message));
+        control_->on_peer_message(std::move(message), std::move(reply));
     };
+    services.cell_reply = [this](peer_message message) { control_->on_peer_message(std::move(message), nullptr); };
     services.config_version = [this] {
         const auto view = control_->view();
         return view->config ? view->config->config.version : 0;
--- a/src/citronlugd/entry.cpp
+++ b/src/citronlugd/entry.cpp
@@ -62,7 +62,7 @@
     , events_{std::move(events)}
     , view_{control.view()} {
     QObject::connect(&timer_, &QTimer::timeout, &queue_, [this] { on_timer(); });
-    timer_.start(timer_interval_ms);
+    timer_.setInterval(timer_interval_ms);
 }
 
 entry::~entry() = default;
@@ -87,6 +87,9 @@
     it->exchange = std::move(exchange);
     it->received = clock_now();
     calls_.emplace(it.get(), it);
+    if (!timer_.isActive()) {
+        timer_.start(); // it runs only while there are requests
+    }
     if (auto fault = prepare(incoming, *it)) {
         refuse(it, std::move(*fault));
         return;
@@ -444,6 +447,10 @@
 
 auto entry::on_timer() -> void {
     const auto now = clock_now();
+    if (calls_.empty()) {
+        timer_.stop();
+        return;
+    }
     for (auto& [account, state] : accounts_) {
         if (!state.waiting.empty() && now >= state.policy->retry_at(now)) {
             pump(account, state);
--- a/src/citronlugd/holder_shard.cpp
+++ b/src/citronlugd/holder_shard.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-constexpr auto timer_interval_ms = 25;
+constexpr auto timer_interval_ms = 40;
+/// Without a held database only the standby's connections are looked after.
+constexpr auto idle_interval_ms = 200;
 /// A standby keeps this many connections to each member, so that a takeover needs no new ones.
 constexpr auto standby_connections_per_member = 2;
 constexpr auto standby_retry = 2s;
@@ -105,6 +107,7 @@
             it = holders_.insert_or_assign(settings.database, std::move(fresh)).first;
         }
         it->second->logic.set_authority(authority_());
+        timer_->setInterval(timer_interval_ms);
         perform(*it->second);
     });
 }
@@ -206,6 +209,7 @@
 auto holder_shard::on_timer() -> void {
     const auto now = clock_now();
     retired_.clear();
+    timer_->setInterval(holders_.empty() ? idle_interval_ms : timer_interval_ms);
     for (auto& [name, it] : holders_) {
         for (auto& [number, connection] : it->connections) {
             connection->check_time(now);
--- a/src/citronlugd/peer.capnp
+++ b/src/citronlugd/peer.capnp
@@ -144,7 +144,9 @@
 
 interface Peer {
   # The sender's time of its hybrid logical clock goes with the message.
-  cellMessage @0 (message :CellMessage, wallUs :Int64, counter :UInt32, sender :Text);
+  # The answers of the cell node come back as results, which saves a call of the other direction.
+  cellMessage @0 (message :CellMessage, wallUs :Int64, counter :UInt32, sender :Text)
+      -> (replies :List(CellMessage));
   execute @1 (request :Request) -> (answer :Answer);
   takeGrant @2 (account :Text, wanted :UInt32, remainingUs :Int64)
       -> (held :Bool, tokens :UInt32, waitUs :Int64);
--- a/src/citronlugd/peer.capnp.c++
+++ b/src/citronlugd/peer.capnp.c++
@@ -2178,30 +2178,55 @@
   1, 4, i_819eefabff116200, nullptr, nullptr, { &s_819eefabff116200, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<17> b_e8a8c8889fa199a2 = {
+static const ::capnp::_::AlignedData<37> b_e8a8c8889fa199a2 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     162, 153, 161, 159, 136, 200, 168, 232,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   7,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  34,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,  46,
      99, 101, 108, 108,  77, 101, 115, 115,
      97, 103, 101,  36,  82, 101, 115, 117,
-    108, 116, 115,   0,   0,   0,   0,   0, }
+    108, 116, 115,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 108, 105, 101, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     27, 240, 163,  90,  54,  24, 141, 151,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_e8a8c8889fa199a2 = b_e8a8c8889fa199a2.words;
 #if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_e8a8c8889fa199a2[] = {
+  &s_978d18365aa3f01b,
+};
+static const uint16_t m_e8a8c8889fa199a2[] = {0};
+static const uint16_t i_e8a8c8889fa199a2[] = {0};
 const ::capnp::_::RawSchema s_e8a8c8889fa199a2 = {
-  0xe8a8c8889fa199a2, b_e8a8c8889fa199a2.words, 17, nullptr, nullptr,
-  0, 0, nullptr, nullptr, nullptr, { &s_e8a8c8889fa199a2, nullptr, nullptr, 0, 0, nullptr }
+  0xe8a8c8889fa199a2, b_e8a8c8889fa199a2.words, 37, d_e8a8c8889fa199a2, m_e8a8c8889fa199a2,
+  1, 1, i_e8a8c8889fa199a2, nullptr, nullptr, { &s_e8a8c8889fa199a2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_f13491a179bd6ee2 = {
--- a/src/citronlugd/peer.capnp.h
+++ b/src/citronlugd/peer.capnp.h
@@ -411,7 +411,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e8a8c8889fa199a2, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e8a8c8889fa199a2, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2843,6 +2843,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasReplies() const;
+  inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Reader getReplies() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2871,6 +2874,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasReplies();
+  inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Builder getReplies();
+  inline void setReplies( ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Builder initReplies(unsigned int size);
+  inline void adoptReplies(::capnp::Orphan< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>> disownReplies();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6737,6 +6747,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::CellMessageResults::Reader::hasReplies() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::CellMessageResults::Builder::hasReplies() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Reader Peer::CellMessageResults::Reader::getReplies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Builder Peer::CellMessageResults::Builder::getReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::CellMessageResults::Builder::setReplies( ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Builder Peer::CellMessageResults::Builder::initReplies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::CellMessageResults::Builder::adoptReplies(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>> Peer::CellMessageResults::Builder::disownReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::ExecuteParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/citronlugd/peer_rpc.cpp
+++ b/src/citronlugd/peer_rpc.cpp
@@ -30,7 +30,7 @@
 constexpr auto silence_limit = 1500ms;
 /// With only long calls under way, a ping is sent after this time without an answer.
 constexpr auto ping_delay = 400ms;
-constexpr auto check_interval_ms = 100;
+constexpr auto check_interval_ms = 200;
 /// A call that cannot be sent for this long is reported as not sent, so that the caller can look for another
 /// instance.
 constexpr auto send_limit = 300ms;
@@ -199,6 +199,8 @@
         });
     }
 
+    auto services() -> const peer_services& { return inbound_->services; }
+
     auto counters() -> peer_counters {
         return {0, calls_.load(), failed_calls_.load(), reconnects_.load(), inbound_->refused_proofs};
     }
@@ -420,7 +422,14 @@
             encode(message, it.initMessage());
             return it.send();
         },
-        [](auto&) {}, [] {});
+        [this](auto& it) {
+            for (const auto reply : it.getReplies()) {
+                if (auto decoded = decode(reply)) {
+                    impl_->services().cell_reply(std::move(*decoded));
+                }
+            }
+        },
+        [] {});
 }
 
 auto peer_rpc::execute(const std::string& address, request work, std::function<void(execute_reply)> done)
--- a/src/citronlugd/peer_rpc.h
+++ b/src/citronlugd/peer_rpc.h
@@ -36,7 +36,8 @@
 /// What peers ask of this instance. All functions are called on the peer thread and must not block; the
 /// reply functions are thread-safe.
 struct peer_services {
-    std::function<void(peer_message, hybrid_time)> cell_message;
+    std::function<void(peer_message, hybrid_time, std::function<void(std::vector<peer_message>)>)> cell_message;
+    std::function<void(peer_message)> cell_reply; ///< answer to a message of this instance
     std::function<std::uint64_t()> config_version;
     std::function<void(request, std::function<void(answer, epoch_number)>)> execute;
     std::function<void(account_id, std::uint32_t wanted, std::function<void(grant_reply)>)> take_grant;
--- a/src/citronlugd/peer_server.cpp
+++ b/src/citronlugd/peer_server.cpp
@@ -38,13 +38,22 @@
     explicit peer_impl(std::shared_ptr<inbound_state> state) : state_{std::move(state)} {}
 
     auto cellMessage(CellMessageContext context) -> kj::Promise<void> override {
-        if (auto message = decode(context.getParams().getMessage())) {
-            const auto params = context.getParams();
-            state_->services.cell_message(
-                std::move(*message),
-                hybrid_time{params.getWallUs(), params.getCounter(), instance_id{std::string{params.getSender()}}});
+        const auto params = context.getParams();
+        auto message = decode(params.getMessage());
+        if (!message) {
+            return kj::READY_NOW;
         }
-        return kj::READY_NOW;
+        auto [promise, fulfil] = make_reply<std::vector<peer_message>>(state_->post);
+        state_->services.cell_message(
+            std::move(*message),
+            hybrid_time{params.getWallUs(), params.getCounter(), instance_id{std::string{params.getSender()}}},
+            std::move(fulfil));
+        return promise.then([context](const std::vector<peer_message>& replies) mutable {
+            auto list = context.getResults().initReplies(static_cast<unsigned>(replies.size()));
+            for (auto n = 0U; n < list.size(); ++n) {
+                encode(replies[n], list[n]);
+            }
+        });
     }
 
     auto execute(ExecuteContext context) -> kj::Promise<void> override {
