--- a/src/citronlugd/entry.cpp
+++ b/src/citronlugd/entry.cpp
@@ -24,6 +24,12 @@
     return secret + "/transaction";
 }
 
+/// The addressed instance does not act for the database; another one does, or soon will.
+auto is_about_holder(failure_code code) -> bool {
+    return code == failure_code::not_holder || code == failure_code::shutting_down ||
+           code == failure_code::no_authority;
+}
+
 auto database_role(const database_id& database) -> role_id {
     return {role_kind::database, database.value};
 }
@@ -56,7 +62,7 @@
     , events_{std::move(events)}
     , view_{control.view()} {
     QObject::connect(&timer_, &QTimer::timeout, &queue_, [this] { on_timer(); });
-    timer_.start(timer_interval_ms);
+    timer_.setInterval(timer_interval_ms);
 }
 
 entry::~entry() = default;
@@ -81,6 +87,9 @@
     it->exchange = std::move(exchange);
     it->received = clock_now();
     calls_.emplace(it.get(), it);
+    if (!timer_.isActive()) {
+        timer_.start(); // it runs only while there are requests
+    }
     if (auto fault = prepare(incoming, *it)) {
         refuse(it, std::move(*fault));
         return;
@@ -345,12 +354,14 @@
         return;
     }
     auto& [value, epoch] = std::get<std::pair<answer, epoch_number>>(reply);
-    if (value.outcome == verdict::not_run && value.error && value.error->code == failure_code::not_holder) {
+    if (value.outcome == verdict::not_run && value.error && is_about_holder(value.error->code)) {
         if (starts_fresh) {
             retry_later(it);
             return;
         }
-        value.error = failure{failure_code::transaction_ended, "the holder of the transaction has changed", {}};
+        if (value.error->code == failure_code::not_holder) {
+            value.error = failure{failure_code::transaction_ended, "the holder of the transaction has changed", {}};
+        }
     }
     if (value.outcome == verdict::done && work.mode == access_mode::write) {
         const auto location = control_.locate(database_role(work.database));
@@ -436,6 +447,10 @@
 
 auto entry::on_timer() -> void {
     const auto now = clock_now();
+    if (calls_.empty()) {
+        timer_.stop();
+        return;
+    }
     for (auto& [account, state] : accounts_) {
         if (!state.waiting.empty() && now >= state.policy->retry_at(now)) {
             pump(account, state);
