--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -227,3 +227,25 @@
 
 # group_state NAME: state of the database group's stand-in.
 group_state() { curl -sf -m 5 "http://127.0.0.1:${control_of[$1]}/state"; }
+
+# Golden sessions: `step TITLE` after a `post` writes the answer, with values that vary replaced, to the
+# transcript; `compare REF_FILE` compares it. UPDATE_REF=1 writes the reference instead.
+step() {
+    {
+        echo "# $1"
+        echo "HTTP $status"
+        sed -E -e 's/"session":"[^"]*"/"session":"<session>"/' -e 's/"transaction":"[^"]*"/"transaction":"<transaction>"/' \
+            -e 's/"served_by":"[^"]*"/"served_by":"<member>"/' -e 's/"data_age_ms":[0-9]+/"data_age_ms":<age>/' \
+            -e 's/"from_replica":(true|false)/"from_replica":<either>/' <<<"$reply"
+        echo
+    } >>"$work/transcript"
+}
+
+compare() {
+    if [ -n "${UPDATE_REF:-}" ]; then
+        mkdir -p "${1%/*}"
+        cp "$work/transcript" "$1"
+    fi
+    diff -u "$1" "$work/transcript" || die "the session differs from $1"
+    echo "ok: the session is as in $1"
+}
