--- a/src/standin/database_standin.cpp
+++ b/src/standin/database_standin.cpp
@@ -148,8 +148,10 @@
         for (const auto& it : fault["clients"].toArray()) {
             clients.insert(it.toString().toStdString());
         }
-        target.isolate(fault["clients"].toString() == "all", std::move(clients));
-        target.partition(fault["members"].toBool(false));
+        target.isolate(!fault.contains("clients"), std::move(clients));
+        if (fault["members"].toBool(false)) {
+            target.partition(true);
+        }
     } else if (kind == "heal") {
         target.heal();
     } else if (kind == "lag") {
@@ -225,7 +227,13 @@
                                    {"entries", entries},
                                    {"truncated", truncated}});
     }
-    return {{"members", list}};
+    auto promotions = QJsonArray{};
+    for (const auto& it : shared_.group.promotions()) {
+        promotions.push_back(QJsonObject{{"term", number(it.term)},
+                                         {"member", static_cast<int>(it.member)},
+                                         {"at_us", static_cast<qint64>(it.at.time_since_epoch().count())}});
+    }
+    return {{"members", list}, {"promotions", promotions}};
 }
 
 auto database_standin::startups_json(const QHttpServerRequest& request) const -> QJsonObject {
