--- a/src/libcitronlug/database_holder_test.cpp
+++ b/src/libcitronlug/database_holder_test.cpp
@@ -443,6 +443,7 @@
         group.perform();
     }
     group.step(2s);
+    CHECK(!group.saw("change-impossible")); // not even suspected
     CHECK(!group.saw("promotion-ordered"));
 }
 
