--- a/src/citronlugd/control_plane.cpp
+++ b/src/citronlugd/control_plane.cpp
@@ -31,9 +31,8 @@
 }
 
 auto is_answer(const peer_message& message) -> bool {
-    return std::holds_alternative<heartbeat_answer>(message) ||
-           std::holds_alternative<promise_answer>(message) || std::holds_alternative<table_answer>(message) ||
-           std::holds_alternative<record_answer>(message);
+    return std::holds_alternative<heartbeat_answer>(message) || std::holds_alternative<promise_answer>(message) ||
+           std::holds_alternative<table_answer>(message) || std::holds_alternative<record_answer>(message);
 }
 
 } // namespace
@@ -186,11 +185,10 @@
             after_event();
         });
     } else if (const auto* put = std::get_if<store_put>(&action)) {
-        it.store.put(put->key, put->value, put->expected_version,
-                     [this, call = put->call](store_reply reply) {
-                         parts_->node.on_store_reply(clock_now(), call, std::move(reply));
-                         after_event();
-                     });
+        it.store.put(put->key, put->value, put->expected_version, [this, call = put->call](store_reply reply) {
+            parts_->node.on_store_reply(clock_now(), call, std::move(reply));
+            after_event();
+        });
     } else if (const auto* send = std::get_if<send_peer>(&action)) {
         if (send->to == it.reply_to && is_answer(send->message)) {
             it.replies.push_back(send->message);
@@ -369,8 +367,7 @@
     auto& it = *parts_;
     const auto now = clock_now();
     auto read_store = [this, now] {
-        parts_->store.get(config_key,
-                          [this, now](const store_reply& reply) { on_stored_config(now, reply); });
+        parts_->store.get(config_key, [this, now](const store_reply& reply) { on_stored_config(now, reply); });
     };
     if (it.spread.poll_due(now, it.node.has_majority(now))) {
         read_store();
@@ -423,7 +420,7 @@
 
 auto control_plane::refresh_listing() -> void {
     auto& it = *parts_;
-    const auto self = listed_instance{settings_.instance,      settings_.cell,   settings_.peer_address,
+    const auto self = listed_instance{settings_.instance, settings_.cell,    settings_.peer_address,
                                       settings_.admin_address, settings_.domain, it.leaving};
     it.store.announce(self, [](bool) {});
     it.store.instances([this](std::optional<std::vector<listed_instance>> list) {
@@ -454,8 +451,8 @@
     on_change_();
 }
 
-auto control_plane::on_peer_message(peer_message message,
-                                    std::function<void(std::vector<peer_message>)> reply) -> void {
+auto control_plane::on_peer_message(peer_message message, std::function<void(std::vector<peer_message>)> reply)
+    -> void {
     thread_.post([this, message = std::move(message), reply = std::move(reply)] {
         if (parts_) {
             parts_->reply_to = std::visit([](const auto& it) { return it.from; }, message);
@@ -476,8 +473,7 @@
                                std::function<void(grant_reply)> done) -> void {
     thread_.post([this, account, wanted, done = std::move(done)] {
         const auto now = clock_now();
-        const auto found =
-            parts_ ? parts_->accountants.find(account) : decltype(parts_->accountants.find(account)){};
+        const auto found = parts_ ? parts_->accountants.find(account) : decltype(parts_->accountants.find(account)){};
         if (!parts_ || found == parts_->accountants.end() || parts_->node.authority_until() <= now) {
             done(grant_reply{});
             return;
@@ -565,28 +561,26 @@
 auto control_plane::write_config(const configuration& config, std::uint64_t expected_version,
                                  std::function<void(result<std::uint64_t>)> done) -> void {
     thread_.post([this, config, expected_version, done = std::move(done)] {
-        parts_->store.put(
-            config_key, to_json(config), expected_version, [this, config, done](const store_reply& reply) {
-                switch (reply.status) {
-                case store_status::ok: {
-                    auto written = config;
-                    written.version = reply.version;
-                    take_config(std::move(written));
-                    after_event();
-                    done(reply.version);
-                    return;
-                }
-                case store_status::conflict:
-                case store_status::not_found:
-                    done(
-                        failure{failure_code::conflict, "the configuration was changed in the meantime", {}});
-                    return;
-                case store_status::unavailable:
-                    done(failure{failure_code::store_unavailable,
-                                 "the platform store did not answer; the change may have taken effect", 1s});
-                    return;
-                }
-            });
+        parts_->store.put(config_key, to_json(config), expected_version, [this, config, done](const store_reply& reply) {
+            switch (reply.status) {
+            case store_status::ok: {
+                auto written = config;
+                written.version = reply.version;
+                take_config(std::move(written));
+                after_event();
+                done(reply.version);
+                return;
+            }
+            case store_status::conflict:
+            case store_status::not_found:
+                done(failure{failure_code::conflict, "the configuration was changed in the meantime", {}});
+                return;
+            case store_status::unavailable:
+                done(failure{failure_code::store_unavailable,
+                             "the platform store did not answer; the change may have taken effect", 1s});
+                return;
+            }
+        });
     });
 }
 
--- a/src/citronlugd/daemon.cpp
+++ b/src/citronlugd/daemon.cpp
@@ -22,8 +22,7 @@
 constexpr auto finish_limit = 9s;
 
 auto wall_us() -> std::int64_t {
-    return std::chrono::duration_cast<std::chrono::microseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
         .count();
 }
 
@@ -89,9 +88,7 @@
         timeline_.observe(at, wall_us());
         control_->on_peer_message(std::move(message), std::move(reply));
     };
-    services.cell_reply = [this](peer_message message) {
-        control_->on_peer_message(std::move(message), nullptr);
-    };
+    services.cell_reply = [this](peer_message message) { control_->on_peer_message(std::move(message), nullptr); };
     services.config_version = [this] {
         const auto view = control_->view();
         return view->config ? view->config->config.version : 0;
@@ -114,12 +111,8 @@
         }
         return config_reply{view->config->config.version, view->config->text};
     };
-    services.locate = [this](const role_id& role) {
-        return control_->locate(role);
-    };
-    services.timeline = [this](const timeline_filter& filter) {
-        return timeline_.select(filter);
-    };
+    services.locate = [this](const role_id& role) { return control_->locate(role); };
+    services.timeline = [this](const timeline_filter& filter) { return timeline_.select(filter); };
     services.cancel = [this](const database_id& database, const account_id& account, const request_id& id) {
         shards_[shard_index(database, shards_.size())]->cancel(database, account, id);
     };
@@ -172,8 +165,7 @@
     return std::nullopt;
 }
 
-auto daemon::handle_admin(const http_request& incoming, const std::shared_ptr<http_exchange>& exchange)
-    -> void {
+auto daemon::handle_admin(const http_request& incoming, const std::shared_ptr<http_exchange>& exchange) -> void {
     auto query = std::map<std::string, std::string>{};
     const auto items = QUrlQuery{incoming.query}.queryItems(QUrl::FullyDecoded);
     for (const auto& [name, value] : items) {
--- a/src/citronlugd/holder_shard.h
+++ b/src/citronlugd/holder_shard.h
@@ -17,8 +17,7 @@
 
 /// Reports an answer together with the epoch under which the holder gave it. Called on the shard's thread.
 using answer_handler = std::function<void(answer value, epoch_number holder_epoch)>;
-using event_sink =
-    std::function<void(const std::string& subject, const std::string& kind, const std::string& detail)>;
+using event_sink = std::function<void(const std::string& subject, const std::string& kind, const std::string& detail)>;
 
 /// The holders of some databases on one thread. Performs their actions: connections, statements, probes,
 /// answers. All public methods are thread-safe.
