--- a/src/bench/checker.cpp
+++ b/src/bench/checker.cpp
@@ -3,6 +3,7 @@
 #include "limit_check.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -21,9 +22,7 @@
     const request_sent* sent = nullptr;
     const answer_received* answer = nullptr; ///< null: none came
 
-    [[nodiscard]] auto done() const -> bool {
-        return answer != nullptr && answer->outcome == verdict::done;
-    }
+    [[nodiscard]] auto done() const -> bool { return answer != nullptr && answer->outcome == verdict::done; }
 };
 
 /// Where a request took effect.
@@ -40,6 +39,14 @@
 
 constexpr auto never = time_point::min();
 
+/// Newest of the writes that a session has had acknowledged up to a time.
+struct own_write {
+    time_point answered;
+    time_point committed;
+    const request_sent* newest = nullptr; ///< the one committed last
+    log_position reached = 0;
+};
+
 class checker {
 public:
     checker(const std::vector<history_record>& history, const check_settings& settings)
@@ -53,7 +60,8 @@
 
     auto run() -> check_report {
         for (const auto& [number, it] : attempts_) {
-            if (it.sent != nullptr && it.sent->mode == access_mode::read && it.done() && !it.sent->row.empty()) {
+            if (it.sent != nullptr && it.sent->mode == access_mode::read && it.done() &&
+                !it.sent->row.empty()) {
                 check_session(it);
                 check_age(it);
             }
@@ -103,8 +111,9 @@
             const auto rank = [](const member_log* it) {
                 return std::pair{it->term, it->entries.empty() ? log_position{0} : it->entries.back().at.log};
             };
-            const auto* const last = *std::max_element(
-                members.begin(), members.end(), [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
+            const auto* const last =
+                *std::max_element(members.begin(), members.end(),
+                                  [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
             auto seen = std::set<std::tuple<position, time_point, request_id>>{};
             const auto enter = [&](const log_item& it, bool final) {
                 // One entry is in the logs of several members.
@@ -140,7 +149,20 @@
                 requests_[name_of_request(*it.sent)].push_back(it);
             }
             if (it.sent->mode == access_mode::write && !it.sent->session.empty() && it.done()) {
-                own_writes_[{it.sent->database, it.sent->session, it.sent->row}].push_back(it);
+                own_writes_[{it.sent->database, it.sent->session, it.sent->row}].push_back(
+                    {it.answer->at, commit_of_request(*it.sent), it.sent, it.answer->reached.log});
+            }
+        }
+        for (auto& [name, writes] : own_writes_) {
+            std::sort(writes.begin(), writes.end(),
+                      [](const auto& a, const auto& b) { return a.answered < b.answered; });
+            for (auto it = std::next(writes.begin()); it != writes.end(); ++it) {
+                const auto& before = *std::prev(it);
+                if (before.committed > it->committed) {
+                    it->committed = before.committed;
+                    it->newest = before.newest;
+                }
+                it->reached = std::max(it->reached, before.reached);
             }
         }
         for (const auto& [name, sendings] : requests_) {
@@ -204,23 +226,23 @@
         if (sent.session.empty() || found == own_writes_.end()) {
             return;
         }
+        const auto& writes = found->second;
+        const auto later =
+            std::lower_bound(writes.begin(), writes.end(), sent.at,
+                             [](const own_write& it, time_point at) { return it.answered < at; });
+        if (later == writes.begin()) {
+            return; // none was acknowledged when the read was sent
+        }
+        examined(violation_kind::own_write_missing);
+        const auto& write = *std::prev(later);
         const auto value = value_read(read);
-        const auto version = commit_of_value({sent.database, sent.row}, value);
-        for (const auto& write : found->second) {
-            if (write.answer->at >= sent.at) {
-                continue;
-            }
-            examined(violation_kind::own_write_missing);
-            const auto older = logs_.contains(sent.database) && value != write.sent->value &&
-                               version < commit_of_request(*write.sent);
-            const auto behind = write.answer->reached.log != 0 && read.answer->reached.log != 0 &&
-                                read.answer->reached.log < write.answer->reached.log;
-            if (older || behind) {
-                report(violation_kind::own_write_missing, sent.at, name_of_request(sent),
-                       fmt::format("session {} read {} of {} after its write {} was acknowledged", sent.session,
-                                   value.value_or("nothing"), sent.row, write.sent->id.value));
-                return;
-            }
+        const auto older = logs_.contains(sent.database) && value != write.newest->value &&
+                           commit_of_value({sent.database, sent.row}, value) < write.committed;
+        const auto reached = read.answer->reached.log;
+        if (older || (reached != 0 && reached < write.reached)) {
+            report(violation_kind::own_write_missing, sent.at, name_of_request(sent),
+                   fmt::format("session {} read {} of {} after its write {} was acknowledged", sent.session,
+                               value.value_or("nothing"), sent.row, write.newest->id.value));
         }
     }
 
@@ -258,8 +280,8 @@
         }
         if (is_overwritten(row, value, sent.at - *read.answer->data_age)) {
             report(violation_kind::understated_age, sent.at, name_of_request(sent),
-                   fmt::format("{} of {} is older than the stated {} ms{}", value.value_or("nothing"), sent.row,
-                               read.answer->data_age->count() / 1000,
+                   fmt::format("{} of {} is older than the stated {} ms{}", value.value_or("nothing"),
+                               sent.row, read.answer->data_age->count() / 1000,
                                read.answer->from_replica ? ", from a replica" : ""));
         }
     }
@@ -329,8 +351,8 @@
         if (ended && entry.committed > *ended) {
             return report(violation_kind::superseded_write, entry.committed, name, place);
         }
-        // Without replication before the acknowledgement, the end of the term may take the write along, but only
-        // if it was acknowledged before that end.
+        // Without replication before the acknowledgement, the end of the term may take the write along, but
+        // only if it was acknowledged before that end.
         if (acknowledged->sent->ack == ack_mode::primary && ended &&
             answered <= *ended + settings_.answer_transit) {
             ++report_.lost_with_primary;
@@ -351,9 +373,10 @@
         examined(violation_kind::false_not_run);
         for (const auto* list : {&where.final, &where.removed}) {
             for (const auto* it : *list) {
-                const auto explained = std::any_of(sendings.begin(), sendings.end(), [&](const attempt& other) {
-                    return other.sent->at <= it->committed && !is_refused(other);
-                });
+                const auto explained =
+                    std::any_of(sendings.begin(), sendings.end(), [&](const attempt& other) {
+                        return other.sent->at <= it->committed && !is_refused(other);
+                    });
                 if (!explained) {
                     report(violation_kind::false_not_run, it->committed, name,
                            fmt::format("in the log of term {} at position {}", it->at.term, it->at.log));
@@ -364,8 +387,8 @@
     }
 
     /// Effects after the revocation of the key, whatever the caller was told.
-    auto check_late_commit(const request_name& name, const std::vector<attempt>& sendings, const effects& where)
-        -> void {
+    auto check_late_commit(const request_name& name, const std::vector<attempt>& sendings,
+                           const effects& where) -> void {
         const auto found = revoked_.find(sendings.front().sent->key);
         if (found == revoked_.end()) {
             return;
@@ -379,7 +402,8 @@
         for (const auto* list : {&where.final, &where.removed}) {
             for (const auto* it : *list) {
                 if (!reported && it->committed > limit) {
-                    report(violation_kind::revoked_key, it->committed, name, "committed after the revocation");
+                    report(violation_kind::revoked_key, it->committed, name,
+                           "committed after the revocation");
                     return;
                 }
             }
@@ -412,8 +436,8 @@
         }
         for (const auto& [name, sendings] : requests_) {
             const auto found = effects_.find(name);
-            const auto served = std::any_of(sendings.begin(), sendings.end(),
-                                            [](const attempt& it) { return it.done(); });
+            const auto served =
+                std::any_of(sendings.begin(), sendings.end(), [](const attempt& it) { return it.done(); });
             if (std::get<account_id>(name) != account || served || found == effects_.end()) {
                 continue;
             }
@@ -440,7 +464,8 @@
         for (const auto& it : find_limit_excess(std::move(runs), rates, burst)) {
             const auto length = std::chrono::duration<double>(it.to - it.from).count();
             report(violation_kind::limit_exceeded, it.from, {database_id{}, account, request_id{}},
-                   fmt::format("{} requests ran within {:.3f} s; {:.1f} are allowed", it.count, length, it.allowed));
+                   fmt::format("{} requests ran within {:.3f} s; {:.1f} are allowed", it.count, length,
+                               it.allowed));
         }
     }
 
@@ -453,7 +478,7 @@
     std::map<std::pair<database_id, term_number>, time_point> superseded_;
     std::map<request_name, effects> effects_;
     std::map<request_name, std::vector<attempt>> requests_; ///< writes, in order of sending number
-    std::map<std::tuple<database_id, std::string, std::string>, std::vector<attempt>> own_writes_;
+    std::map<std::tuple<database_id, std::string, std::string>, std::vector<own_write>> own_writes_;
     std::map<row_name, row_history> row_histories_;
     std::map<row_name, std::set<request_name>> writers_;
     std::map<row_name, std::uint64_t> final_changes_;
@@ -466,7 +491,8 @@
                                                   [&](const violation& it) { return it.kind == kind; }));
 }
 
-auto check_history(const std::vector<history_record>& history, const check_settings& settings) -> check_report {
+auto check_history(const std::vector<history_record>& history, const check_settings& settings)
+    -> check_report {
     return checker{history, settings}.run();
 }
 
