--- a/src/libcitronlug/account_traffic.h
+++ b/src/libcitronlug/account_traffic.h
@@ -12,7 +12,9 @@
 /// Bucket that sees all requests at once: the reference for the limit and for wrongful refusals.
 class reference_bucket {
 public:
-    explicit reference_bucket(rate_limit limit) : limit_{limit}, level_{limit.burst} {}
+    explicit reference_bucket(rate_limit limit)
+        : limit_{limit}
+        , level_{limit.burst} {}
     /// Takes one token; negative levels mean waiting.
     auto take(time_point now) -> double {
         const auto earned = limit_.rate * std::chrono::duration<double>{now - updated_}.count();
@@ -107,8 +109,8 @@
         const auto live = static_cast<std::uint32_t>(node.node->live_members(now).size());
         it.policy->set_limit(now, limit_, live);
         if (cell_.uniform() < demand[n] * std::chrono::duration<double>{interval}.count()) {
-            const auto within = ideal_.take(cell_.now) >=
-                                -limit_.rate * std::chrono::duration<double>{patience_}.count();
+            const auto within =
+                ideal_.take(cell_.now) >= -limit_.rate * std::chrono::duration<double>{patience_}.count();
             possible += within ? 1 : 0;
             if (!within) {
                 ideal_.put_back();
@@ -158,8 +160,10 @@
         }
         cell_.after(1ms, [this, n, to, run, wanted, asked = now, fail] {
             auto& holder = entries_[to];
-            const auto until = cell_.nodes[to]->node ? cell_.nodes[to]->node->authority_until() : time_point{};
-            if (!cell_.believes(to, role_) || !holder.account || !may_grant(limit_, cell_.local(to), until) || cell_.now < cell_.nodes[to]->paused_until) {
+            const auto until =
+                cell_.nodes[to]->node ? cell_.nodes[to]->node->authority_until() : time_point{};
+            if (!cell_.believes(to, role_) || !holder.account || !may_grant(limit_, cell_.local(to), until) ||
+                cell_.now < cell_.nodes[to]->paused_until) {
                 fail(10ms);
                 return;
             }
--- a/src/libcitronlug/accountant_test.cpp
+++ b/src/libcitronlug/accountant_test.cpp
@@ -67,7 +67,9 @@
 TEST_GROUP_BASE(the_granted_limit, citronlug::testing::story) {
     std::unique_ptr<limit_policy> policy = plugin_registry<limit_policy>::make("granted");
 
-    auto setup() -> void override { policy->set_limit(at(0ms), {50, 100}, 3); }
+    auto setup()->void override {
+        policy->set_limit(at(0ms), {50, 100}, 3);
+    }
 };
 
 // Guards against refusals while nobody has said that the account is over its rate.
@@ -108,14 +110,14 @@
     CHECK(admitted >= 99 && admitted <= 110);
 }
 
-// Overshoot and wrongful refusals of both policies, printed for docs/limits.md. Guards against grants that exceed
-// the limit under a partition and against refusals within the rate while one instance fails.
+// Overshoot and wrongful refusals of both policies, printed for docs/limits.md. Guards against grants that
+// exceed the limit under a partition and against refusals within the rate while one instance fails.
 TEST_GROUP_BASE(limit_comparison, citronlug::testing::story) {
     struct outcome {
         int above, possible, admitted, wrongful;
         double worst;
     };
-    static auto run(const std::string& policy, const std::string& scenario, duration patience) -> outcome {
+    static auto run(const std::string& policy, const std::string& scenario, duration patience)->outcome {
         auto cell = cell_simulation{9, 11};
         cell.roles = {account_role("x")};
         cell.start_all();
@@ -148,8 +150,10 @@
              {"even", "skewed", "holder crashes", "over", "over, holder crashes", "over, partition"}) {
             for (const auto* policy : {"granted", "static_share"}) {
                 const auto it = run(policy, scenario, patience);
-                fmt::print("deadline {} s, {:<21} {:<13} possible {:5} admitted {:5} wrongful {:4} above {:4} excess {:.1f}\n",
-                           patience / 1s, scenario, policy, it.possible, it.admitted, it.wrongful, it.above, it.worst);
+                fmt::print("deadline {} s, {:<21} {:<13} possible {:5} admitted {:5} wrongful {:4} above "
+                           "{:4} excess {:.1f}\n",
+                           patience / 1s, scenario, policy, it.possible, it.admitted, it.wrongful, it.above,
+                           it.worst);
                 const auto granted = std::string{policy} == "granted";
                 CHECK(!granted || it.above == 0);
                 const auto steady = std::string{scenario} == "even" || std::string{scenario} == "skewed";
--- a/src/libcitronlug/cell_roles.cpp
+++ b/src/libcitronlug/cell_roles.cpp
@@ -137,8 +137,9 @@
         const cell_member* to = nullptr;
         if (leaving_) {
             // The standby of a database has its connections open already.
+            const auto& named = entry.standby;
             const auto standby = std::find_if(others.begin(), others.end(),
-                                              [&](const auto& it) { return it.instance == entry.standby; });
+                                              [&named](const auto& it) { return it.instance == named; });
             to = role.kind == role_kind::database && standby != others.end() ? &*standby
                                                                              : load.least(role, others);
         } else if (moving != moving_.end()) {
--- a/src/libcitronlug/cell_schedules_test.cpp
+++ b/src/libcitronlug/cell_schedules_test.cpp
@@ -174,8 +174,9 @@
     for (auto n = 0U; n < faults; ++n) {
         const auto length = duration{300'000 + static_cast<std::int64_t>(choice() % 6'000'000)};
         const auto name = inject(cell, length);
-        trace += fmt::format(" [{:.1f} s: {} for {:.1f} s]", (cell.now - at(0ms)).count() / 1e6, name,
-                             length.count() / 1e6);
+        trace += fmt::format(" [{:.1f} s: {} for {:.1f} s]",
+                             std::chrono::duration<double>{cell.now - at(0ms)}.count(), name,
+                             std::chrono::duration<double>{length}.count());
         cell.run(duration{static_cast<std::int64_t>(choice() % 2'500'000)});
     }
     cell.run(7s);
--- a/src/libcitronlug/cell_table.cpp
+++ b/src/libcitronlug/cell_table.cpp
@@ -53,8 +53,9 @@
     for (const auto& [id, member] : record_.members) {
         const auto heard = heard_.find(id);
         const auto last = heard == heard_.end() ? started_ : std::max(started_, heard->second.at);
-        const auto holds = std::any_of(record_.roles.begin(), record_.roles.end(),
-                                       [&](const auto& it) { return it.second.holder.value == id; });
+        const auto holds =
+            std::any_of(record_.roles.begin(), record_.roles.end(),
+                        [&member = member](const auto& it) { return it.second.holder == member.instance; });
         if (id != self_.instance.value && !list_.contains(id) && !holds &&
             now - last >= settings_.member_removal_delay) {
             return id;
--- a/src/libcitronlug/config_spread_test.cpp
+++ b/src/libcitronlug/config_spread_test.cpp
@@ -9,12 +9,12 @@
     config_spread spread{cell_id{"c1"}, instance_id{"i1"}, 3};
     cell_record record;
 
-    auto setup() -> void override {
+    auto setup()->void override {
         for (const auto* id : {"i1", "i2", "i3"}) {
             record.members[id].instance.value = id;
         }
     }
-    auto peer(duration t, const char* id, std::uint64_t version) -> void {
+    auto peer(duration t, const char* id, std::uint64_t version)->void {
         spread.on_peer_version(at(t), instance_id{id}, version);
     }
 };
@@ -74,7 +74,8 @@
 
 // Guards against exchanges within the cell or more often than once a second.
 TEST(the_configuration, one_exchange_with_another_cell_each_second) {
-    auto list = std::vector<listed_instance>{{instance_id{"i2"}, cell_id{"c1"}}, {instance_id{"j1"}, cell_id{"c2"}}};
+    auto list =
+        std::vector<listed_instance>{{instance_id{"i2"}, cell_id{"c1"}}, {instance_id{"j1"}, cell_id{"c2"}}};
     const auto other = spread.exchange_with(at(0ms), list);
     CHECK(other && other->instance.value == "j1");
     CHECK(!spread.exchange_with(at(999ms), list).has_value());
