--- a/src/citronlugd/caller_api.cpp
+++ b/src/citronlugd/caller_api.cpp
@@ -47,8 +47,10 @@
 
 auto parse_parameter(const QJsonValue& value, int n) -> result<std::optional<std::string>> {
     switch (value.type()) {
-    case QJsonValue::Null: return std::optional<std::string>{};
-    case QJsonValue::Bool: return std::optional<std::string>{value.toBool() ? "true" : "false"};
+    case QJsonValue::Null:
+        return std::optional<std::string>{};
+    case QJsonValue::Bool:
+        return std::optional<std::string>{value.toBool() ? "true" : "false"};
     case QJsonValue::Double: {
         const auto number = value.toDouble();
         constexpr auto exact = 9007199254740992.0; // whole numbers up to 2^53 are exact
@@ -64,7 +66,8 @@
         }
         return std::optional<std::string>{std::move(std::get<std::string>(text))};
     }
-    default: return bad(fmt::format("parameters[{}] must be a string, number, boolean or null", n));
+    default:
+        return bad(fmt::format("parameters[{}] must be a string, number, boolean or null", n));
     }
 }
 
@@ -116,8 +119,9 @@
             to.body.parameters.push_back(std::move(std::get<std::optional<std::string>>(parameter)));
         }
     } else {
-        return bad(fmt::format("unknown field \"{}\"; accepted: request_id, deadline_ms, session, max_age_ms{}",
-                               name.left(40).toStdString(), has_statement ? ", sql, parameters" : ""));
+        return bad(
+            fmt::format("unknown field \"{}\"; accepted: request_id, deadline_ms, session, max_age_ms{}",
+                        name.left(40).toStdString(), has_statement ? ", sql, parameters" : ""));
     }
     return std::nullopt;
 }
@@ -130,7 +134,8 @@
 
 auto parse_target(const QString& path) -> result<caller_target> {
     const auto parts = path.split('/');
-    const auto unknown = failure{failure_code::no_route, "there is no such path in the callers' interface", {}};
+    const auto unknown =
+        failure{failure_code::no_route, "there is no such path in the callers' interface", {}};
     if (parts.size() < 4 || !parts[0].isEmpty() || parts[1] != "v1" || parts[3].isEmpty()) {
         return unknown;
     }
@@ -187,13 +192,16 @@
 
 auto bearer_key(const QByteArray& authorization) -> std::string_view {
     constexpr auto prefix = std::string_view{"Bearer "};
-    const auto text = std::string_view{authorization.constData(), static_cast<std::size_t>(authorization.size())};
+    const auto text =
+        std::string_view{authorization.constData(), static_cast<std::size_t>(authorization.size())};
     return text.starts_with(prefix) ? text.substr(prefix.size()) : std::string_view{};
 }
 
-auto format_answer(const answer& value, const std::string& session, const std::string& transaction) -> QByteArray {
+auto format_answer(const answer& value, const std::string& session, const std::string& transaction)
+    -> QByteArray {
     const auto outcome = name_of(value.outcome);
-    auto object = QJsonObject{{"outcome", QString::fromUtf8(outcome.data(), static_cast<qsizetype>(outcome.size()))}};
+    auto object =
+        QJsonObject{{"outcome", QString::fromUtf8(outcome.data(), static_cast<qsizetype>(outcome.size()))}};
     if (value.error) {
         const auto code = name_of(value.error->code);
         object["code"] = QString::fromUtf8(code.data(), static_cast<qsizetype>(code.size()));
@@ -217,7 +225,8 @@
         object["rows"] = rows;
         object["affected"] = static_cast<qint64>(value.rows.affected);
         object["from_replica"] = value.from_replica;
-        object["data_age_ms"] = static_cast<qint64>(std::chrono::ceil<std::chrono::milliseconds>(value.data_age).count());
+        object["data_age_ms"] =
+            static_cast<qint64>(std::chrono::ceil<std::chrono::milliseconds>(value.data_age).count());
         object["replayed"] = value.replayed;
     }
     if (!value.served_by.empty()) {
@@ -241,17 +250,25 @@
     }
     switch (value.error ? value.error->code : failure_code::overloaded) {
     case failure_code::bad_request:
-    case failure_code::invalid_token: return 400;
-    case failure_code::unauthorised: return 401;
-    case failure_code::forbidden: return 403;
-    case failure_code::no_route: return 404;
+    case failure_code::invalid_token:
+        return 400;
+    case failure_code::unauthorised:
+        return 401;
+    case failure_code::forbidden:
+        return 403;
+    case failure_code::no_route:
+        return 404;
     case failure_code::session_lost:
     case failure_code::duplicate_running:
     case failure_code::conflict:
-    case failure_code::transaction_ended: return 409;
-    case failure_code::statement_failed: return 422;
-    case failure_code::rate_limited: return 429;
-    default: return 503;
+    case failure_code::transaction_ended:
+        return 409;
+    case failure_code::statement_failed:
+        return 422;
+    case failure_code::rate_limited:
+        return 429;
+    default:
+        return 503;
     }
 }
 
--- a/src/citronlugd/caller_api.h
+++ b/src/citronlugd/caller_api.h
@@ -38,8 +38,8 @@
 [[nodiscard]] auto bearer_key(const QByteArray& authorization) -> std::string_view;
 
 /// JSON text of an answer. Empty session and transaction ids are left out.
-[[nodiscard]] auto format_answer(const answer& value, const std::string& session, const std::string& transaction)
-    -> QByteArray;
+[[nodiscard]] auto format_answer(const answer& value, const std::string& session,
+                                 const std::string& transaction) -> QByteArray;
 [[nodiscard]] auto http_status(const answer& value) -> int;
 
 } // namespace citronlug
--- a/src/citronlugd/caller_api_test.cpp
+++ b/src/citronlugd/caller_api_test.cpp
@@ -4,14 +4,17 @@
 
 using namespace citronlug;
 
-TEST_GROUP_BASE(callers_interface, citronlug::testing::story) {
-    static auto message(const QByteArray& text, transaction_step step = transaction_step::none) -> std::string {
-        const auto parsed = parse_body(text, step);
-        const auto* error = std::get_if<failure>(&parsed);
-        return error == nullptr ? "" : error->message;
-    }
-    static auto has(const std::string& text, const char* part) -> bool { return text.find(part) != std::string::npos; }
-};
+TEST_GROUP_BASE(callers_interface, citronlug::testing::story){
+    static auto message(const QByteArray& text, transaction_step step = transaction_step::none)
+        ->std::string{const auto parsed = parse_body(text, step);
+const auto* error = std::get_if<failure>(&parsed);
+return error == nullptr ? "" : error->message;
+}
+static auto has(const std::string& text, const char* part) -> bool {
+    return text.find(part) != std::string::npos;
+}
+}
+;
 
 // Every fault must name the field, and no wrong type may be read as a default.
 TEST(callers_interface, names_the_faulty_field) {
@@ -43,9 +46,12 @@
 TEST(callers_interface, reads_the_paths) {
     const auto route = parse_target("/v1/routes/orders");
     CHECK(std::get<caller_target>(route).route == route_id{"orders"});
-    CHECK(std::get<caller_target>(parse_target("/v1/routes/orders/transactions")).step == transaction_step::begin);
-    CHECK(std::get<caller_target>(parse_target("/v1/transactions/T/commit")).step == transaction_step::commit);
-    for (const auto* path : {"/", "/v1/routes/", "/v1/routes/a/b", "/v1/transactions/T", "/v2/routes/a", "/v1"}) {
+    CHECK(std::get<caller_target>(parse_target("/v1/routes/orders/transactions")).step ==
+          transaction_step::begin);
+    CHECK(std::get<caller_target>(parse_target("/v1/transactions/T/commit")).step ==
+          transaction_step::commit);
+    for (const auto* path :
+         {"/", "/v1/routes/", "/v1/routes/a/b", "/v1/transactions/T", "/v2/routes/a", "/v1"}) {
         CHECK(!succeeded(parse_target(path)));
     }
 }
--- a/src/citronlugd/control_plane.cpp
+++ b/src/citronlugd/control_plane.cpp
@@ -17,6 +17,8 @@
 constexpr auto judgement_life = 300ms;
 constexpr auto watch_wait = 20s;
 constexpr auto standby_interval = 500ms;
+/// Shortest time between two questions for a role of another cell.
+constexpr auto remote_question_interval = 100ms;
 
 auto since_epoch(time_point time) -> std::int64_t {
     return time.time_since_epoch().count();
@@ -30,9 +32,22 @@
     return hash;
 }
 
+auto role_event(const char* kind, const role_id& role, epoch_number epoch) -> timeline_event {
+    auto event = timeline_event{};
+    event.kind = kind;
+    event.detail = fmt::format("{} {} epoch {}", name_of(role.kind), role.name, epoch);
+    if (role.kind == role_kind::database) {
+        event.database = database_id{role.name};
+    } else {
+        event.account = account_id{role.name};
+    }
+    return event;
+}
+
 auto is_answer(const peer_message& message) -> bool {
-    return std::holds_alternative<heartbeat_answer>(message) || std::holds_alternative<promise_answer>(message) ||
-           std::holds_alternative<table_answer>(message) || std::holds_alternative<record_answer>(message);
+    return std::holds_alternative<heartbeat_answer>(message) ||
+           std::holds_alternative<promise_answer>(message) || std::holds_alternative<table_answer>(message) ||
+           std::holds_alternative<record_answer>(message);
 }
 
 } // namespace
@@ -58,7 +73,8 @@
         : self{settings.instance, run, settings.peer_address, settings.admin_address, settings.domain}
         , node{settings.cell, self, settings.lease, run, clock_now()}
         , spread{settings.cell, settings.instance, run}
-        , store{settings.store_address, settings.instance} {}
+        , store{settings.store_address, settings.instance}
+        , random{run} {}
 
     cell_member self;
     cell_node node;
@@ -69,6 +85,13 @@
     std::map<account_id, accountant> accountants;
     std::map<role_id, epoch_number> held;
     std::set<role_id> roles; ///< of this cell
+    /// Role of another cell.
+    struct remote_role {
+        std::optional<role_location> location;
+        time_point asked;
+    };
+    std::map<role_id, remote_role> elsewhere;
+    std::mt19937_64 random;
     std::vector<listed_instance> listed;
     std::uint64_t seen_record = 0;
     std::size_t seen_live = 0;
@@ -185,10 +208,11 @@
             after_event();
         });
     } else if (const auto* put = std::get_if<store_put>(&action)) {
-        it.store.put(put->key, put->value, put->expected_version, [this, call = put->call](store_reply reply) {
-            parts_->node.on_store_reply(clock_now(), call, std::move(reply));
-            after_event();
-        });
+        it.store.put(put->key, put->value, put->expected_version,
+                     [this, call = put->call](store_reply reply) {
+                         parts_->node.on_store_reply(clock_now(), call, std::move(reply));
+                         after_event();
+                     });
     } else if (const auto* send = std::get_if<send_peer>(&action)) {
         if (send->to == it.reply_to && is_answer(send->message)) {
             it.replies.push_back(send->message);
@@ -200,7 +224,7 @@
     } else if (const auto* lost = std::get_if<role_lost>(&action)) {
         role_changed(*lost);
     } else if (const auto* event = std::get_if<cell_event>(&action)) {
-        events_("", event->kind, event->detail);
+        events_({.kind = event->kind, .detail = event->detail});
     }
 }
 
@@ -238,14 +262,14 @@
     auto& it = *parts_;
     it.held[role.role] = role.epoch;
     it.dirty = true;
-    events_(role.role.name, "role-gained",
-            fmt::format("{} {} epoch {}", name_of(role.role.kind), role.role.name, role.epoch));
+    events_(role_event("role-gained", role.role, role.epoch));
     if (role.role.kind == role_kind::account) {
         const auto account = account_id{role.role.name};
-        const auto& limits = it.config->config.rules.limits;
-        const auto limit = limits.find(account);
-        it.accountants.insert_or_assign(
-            account, accountant{limit == limits.end() ? rate_limit{} : limit->second.limit, clock_now()});
+        auto limit = rate_limit{};
+        if (it.config && it.config->config.rules.limits.contains(account)) {
+            limit = it.config->config.rules.limits.at(account).limit;
+        }
+        it.accountants.insert_or_assign(account, accountant{limit, clock_now()});
         return;
     }
     const auto database = database_id{role.role.name};
@@ -258,8 +282,7 @@
     auto& it = *parts_;
     it.held.erase(role.role);
     it.dirty = true;
-    events_(role.role.name, "role-lost",
-            fmt::format("{} {} epoch {}", name_of(role.role.kind), role.role.name, role.epoch));
+    events_(role_event("role-lost", role.role, role.epoch));
     if (role.role.kind == role_kind::account) {
         it.accountants.erase(account_id{role.role.name});
         return;
@@ -314,7 +337,8 @@
             }
         }
     }
-    events_("", "configuration", fmt::format("version {} is in force", state->config.version));
+    events_(
+        {.kind = "configuration", .detail = fmt::format("version {} is in force", state->config.version)});
     return true;
 }
 
@@ -343,7 +367,7 @@
             take_config(std::move(*config));
             it.spread.on_store_read(asked_at, reply.version);
         } else {
-            events_("", "configuration-unreadable", std::get<failure>(parsed).message);
+            events_({.kind = "configuration-unreadable", .detail = std::get<failure>(parsed).message});
         }
     }
     after_event();
@@ -367,7 +391,8 @@
     auto& it = *parts_;
     const auto now = clock_now();
     auto read_store = [this, now] {
-        parts_->store.get(config_key, [this, now](const store_reply& reply) { on_stored_config(now, reply); });
+        parts_->store.get(config_key,
+                          [this, now](const store_reply& reply) { on_stored_config(now, reply); });
     };
     if (it.spread.poll_due(now, it.node.has_majority(now))) {
         read_store();
@@ -420,7 +445,7 @@
 
 auto control_plane::refresh_listing() -> void {
     auto& it = *parts_;
-    const auto self = listed_instance{settings_.instance, settings_.cell,    settings_.peer_address,
+    const auto self = listed_instance{settings_.instance,      settings_.cell,   settings_.peer_address,
                                       settings_.admin_address, settings_.domain, it.leaving};
     it.store.announce(self, [](bool) {});
     it.store.instances([this](std::optional<std::vector<listed_instance>> list) {
@@ -432,6 +457,59 @@
     });
 }
 
+auto control_plane::look_up(const role_id& role) -> void {
+    thread_.post([this, role] {
+        const auto now = clock_now();
+        if (!parts_ || !parts_->config || parts_->roles.contains(role)) {
+            return;
+        }
+        auto& it = *parts_;
+        auto& known = it.elsewhere[role];
+        if (known.asked != time_point{} && now - known.asked < remote_question_interval) {
+            return;
+        }
+        known.asked = now;
+        const auto& rules = it.config->config.rules;
+        auto cell = cell_of_account(account_id{role.name}, rules);
+        if (role.kind == role_kind::database) {
+            const auto rule = rules.databases.find(database_id{role.name});
+            cell = rule == rules.databases.end() ? std::nullopt : std::optional{rule->second.cell};
+        }
+        if (!cell || *cell == settings_.cell) {
+            it.elsewhere.erase(role);
+            return;
+        }
+        auto addresses = std::vector<std::string>{};
+        for (const auto& listed : it.listed) {
+            if (listed.cell == *cell && !listed.leaving) {
+                addresses.push_back(listed.peer_address);
+            }
+        }
+        const auto seeds = settings_.other_cells.find(*cell);
+        if (addresses.empty() && seeds != settings_.other_cells.end()) {
+            addresses = seeds->second;
+        }
+        if (addresses.empty()) {
+            return;
+        }
+        peers_->locate(addresses[it.random() % addresses.size()], role,
+                       [this, role](std::optional<role_location> found) {
+                           thread_.post([this, role, found = std::move(found)] {
+                               if (!parts_ || !found) {
+                                   return;
+                               }
+                               auto& known = parts_->elsewhere[role].location;
+                               // An instance that lags behind must not bring back an older holder.
+                               if (!known || known->epoch < found->epoch) {
+                                   known = found;
+                                   parts_->dirty = true;
+                                   after_event();
+                               }
+                           });
+                       });
+    });
+}
+
 auto control_plane::publish() -> void {
     auto& it = *parts_;
     auto next = std::make_shared<control_view>();
@@ -441,6 +519,11 @@
             next->roles.emplace(role, std::move(*location));
         }
     }
+    for (const auto& [role, found] : it.elsewhere) {
+        if (found.location) {
+            next->roles.emplace(role, *found.location);
+        }
+    }
     next->live_instances = static_cast<std::uint32_t>(std::max<std::size_t>(1, it.seen_live));
     next->serving = it.serving && it.config != nullptr;
     next->leaving = it.leaving;
@@ -451,8 +534,8 @@
     on_change_();
 }
 
-auto control_plane::on_peer_message(peer_message message, std::function<void(std::vector<peer_message>)> reply)
-    -> void {
+auto control_plane::on_peer_message(peer_message message,
+                                    std::function<void(std::vector<peer_message>)> reply) -> void {
     thread_.post([this, message = std::move(message), reply = std::move(reply)] {
         if (parts_) {
             parts_->reply_to = std::visit([](const auto& it) { return it.from; }, message);
@@ -473,7 +556,8 @@
                                std::function<void(grant_reply)> done) -> void {
     thread_.post([this, account, wanted, done = std::move(done)] {
         const auto now = clock_now();
-        const auto found = parts_ ? parts_->accountants.find(account) : decltype(parts_->accountants.find(account)){};
+        const auto found =
+            parts_ ? parts_->accountants.find(account) : decltype(parts_->accountants.find(account)){};
         if (!parts_ || found == parts_->accountants.end() || parts_->node.authority_until() <= now) {
             done(grant_reply{});
             return;
@@ -561,26 +645,28 @@
 auto control_plane::write_config(const configuration& config, std::uint64_t expected_version,
                                  std::function<void(result<std::uint64_t>)> done) -> void {
     thread_.post([this, config, expected_version, done = std::move(done)] {
-        parts_->store.put(config_key, to_json(config), expected_version, [this, config, done](const store_reply& reply) {
-            switch (reply.status) {
-            case store_status::ok: {
-                auto written = config;
-                written.version = reply.version;
-                take_config(std::move(written));
-                after_event();
-                done(reply.version);
-                return;
-            }
-            case store_status::conflict:
-            case store_status::not_found:
-                done(failure{failure_code::conflict, "the configuration was changed in the meantime", {}});
-                return;
-            case store_status::unavailable:
-                done(failure{failure_code::store_unavailable,
-                             "the platform store did not answer; the change may have taken effect", 1s});
-                return;
-            }
-        });
+        parts_->store.put(
+            config_key, to_json(config), expected_version, [this, config, done](const store_reply& reply) {
+                switch (reply.status) {
+                case store_status::ok: {
+                    auto written = config;
+                    written.version = reply.version;
+                    take_config(std::move(written));
+                    after_event();
+                    done(reply.version);
+                    return;
+                }
+                case store_status::conflict:
+                case store_status::not_found:
+                    done(
+                        failure{failure_code::conflict, "the configuration was changed in the meantime", {}});
+                    return;
+                case store_status::unavailable:
+                    done(failure{failure_code::store_unavailable,
+                                 "the platform store did not answer; the change may have taken effect", 1s});
+                    return;
+                }
+            });
     });
 }
 
--- a/src/citronlugd/control_plane.h
+++ b/src/citronlugd/control_plane.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <set>
 
 namespace citronlug {
@@ -71,9 +72,12 @@
     [[nodiscard]] auto config_current_until() const -> time_point;
     [[nodiscard]] auto locate(const role_id& role) const -> std::optional<role_location>;
 
+    /// Asks another cell who fills the role, if it belongs to one; a new view tells the answer.
+    auto look_up(const role_id& role) -> void;
     /// `reply` receives the answers to the message.
     auto on_peer_message(peer_message message, std::function<void(std::vector<peer_message>)> reply) -> void;
-    auto take_grant(const account_id& account, std::uint32_t wanted, std::function<void(grant_reply)> done) -> void;
+    auto take_grant(const account_id& account, std::uint32_t wanted, std::function<void(grant_reply)> done)
+        -> void;
     auto give_back(const account_id& account, std::uint32_t tokens, duration age) -> void;
 
     /// Announces that this instance leaves; it keeps its roles until `hand_over`.
@@ -126,6 +130,7 @@
 /// Shard that a database belongs to.
 [[nodiscard]] auto shard_index(const database_id& database, std::size_t shards) -> std::size_t;
 /// Cell that accounts for a client account: a stable hash over the sorted cell names of the rules.
-[[nodiscard]] auto cell_of_account(const account_id& account, const rule_set& rules) -> std::optional<cell_id>;
+[[nodiscard]] auto cell_of_account(const account_id& account, const rule_set& rules)
+    -> std::optional<cell_id>;
 
 } // namespace citronlug
--- a/src/citronlugd/daemon.cpp
+++ b/src/citronlugd/daemon.cpp
@@ -22,7 +22,8 @@
 constexpr auto finish_limit = 9s;
 
 auto wall_us() -> std::int64_t {
-    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
         .count();
 }
 
@@ -63,22 +64,22 @@
     }
 }
 
-auto daemon::record(const std::string& subject, const std::string& kind, const std::string& detail) -> void {
+auto daemon::record(timeline_event event) -> void {
     const auto now = wall_us();
-    auto event = timeline_event{};
-    event.kind = kind;
-    event.detail = detail;
-    event.database = database_id{subject};
-    timeline_.record(now, std::move(event));
-    auto fields = std::vector<log_field>{};
-    if (!subject.empty()) {
-        fields.push_back({"subject", subject});
-    }
-    if (!detail.empty()) {
-        fields.push_back({"detail", detail});
+    metrics_.count("citronlug_events_total", {{"kind", event.kind}});
+    // Events of single requests go to the time line only; the log has changes of state.
+    if (event.request.empty()) {
+        auto fields = std::vector<log_field>{};
+        for (const auto& [name, value] :
+             {std::pair{"database", event.database.value}, std::pair{"account", event.account.value},
+              std::pair{"detail", event.detail}}) {
+            if (!value.empty()) {
+                fields.push_back({name, value});
+            }
+        }
+        log_.write(now, log_level::info, event.kind, fields);
     }
-    log_.write(now, log_level::info, kind, fields);
-    metrics_.count("citronlug_events_total", {{"kind", kind}});
+    timeline_.record(now, std::move(event));
 }
 
 auto daemon::services() -> peer_services {
@@ -88,7 +89,9 @@
         timeline_.observe(at, wall_us());
         control_->on_peer_message(std::move(message), std::move(reply));
     };
-    services.cell_reply = [this](peer_message message) { control_->on_peer_message(std::move(message), nullptr); };
+    services.cell_reply = [this](peer_message message) {
+        control_->on_peer_message(std::move(message), nullptr);
+    };
     services.config_version = [this] {
         const auto view = control_->view();
         return view->config ? view->config->config.version : 0;
@@ -111,8 +114,12 @@
         }
         return config_reply{view->config->config.version, view->config->text};
     };
-    services.locate = [this](const role_id& role) { return control_->locate(role); };
-    services.timeline = [this](const timeline_filter& filter) { return timeline_.select(filter); };
+    services.locate = [this](const role_id& role) {
+        return control_->locate(role);
+    };
+    services.timeline = [this](const timeline_filter& filter) {
+        return timeline_.select(filter);
+    };
     services.cancel = [this](const database_id& database, const account_id& account, const request_id& id) {
         shards_[shard_index(database, shards_.size())]->cancel(database, account, id);
     };
@@ -120,8 +127,8 @@
 }
 
 auto daemon::start() -> std::optional<std::string> {
-    auto events = [this](const std::string& subject, const std::string& kind, const std::string& detail) {
-        record(subject, kind, detail);
+    auto events = [this](timeline_event event) {
+        record(std::move(event));
     };
     auto options = pg_options{};
     options.application = settings_.instance.value;
@@ -161,11 +168,12 @@
     if (operators_->listen(settings_.admin_address) == 0) {
         return "cannot listen on admin_address " + settings_.admin_address;
     }
-    record("", "started", fmt::format("incarnation {:x}", run_));
+    record({.kind = "started", .detail = fmt::format("incarnation {:x}", run_)});
     return std::nullopt;
 }
 
-auto daemon::handle_admin(const http_request& incoming, const std::shared_ptr<http_exchange>& exchange) -> void {
+auto daemon::handle_admin(const http_request& incoming, const std::shared_ptr<http_exchange>& exchange)
+    -> void {
     auto query = std::map<std::string, std::string>{};
     const auto items = QUrlQuery{incoming.query}.queryItems(QUrl::FullyDecoded);
     for (const auto& [name, value] : items) {
@@ -185,7 +193,7 @@
     }
     left_ = std::move(done);
     leave_started_ = clock_now();
-    record("", "leaving", "");
+    record({.kind = "leaving"});
     control_->announce_leaving();
     QObject::connect(&leave_timer_, &QTimer::timeout, &queue_, [this] { continue_leaving(); });
     leave_timer_.start(50);
@@ -213,7 +221,8 @@
         leave_step_ = 3;
     } else if (leave_step_ == 3 && (entry_->requests_in_flight() == 0 || waited >= finish_limit)) {
         leave_timer_.stop();
-        record("", "left", fmt::format("{} requests unfinished", entry_->requests_in_flight()));
+        record(
+            {.kind = "left", .detail = fmt::format("{} requests unfinished", entry_->requests_in_flight())});
         left_();
     }
 }
--- a/src/citronlugd/daemon.h
+++ b/src/citronlugd/daemon.h
@@ -43,7 +43,7 @@
     [[nodiscard]] auto wall_seconds() -> std::int64_t override;
 
 private:
-    auto record(const std::string& subject, const std::string& kind, const std::string& detail) -> void;
+    auto record(timeline_event event) -> void;
     auto services() -> peer_services;
     auto handle_admin(const http_request& incoming, const std::shared_ptr<http_exchange>& exchange) -> void;
     auto continue_leaving() -> void;
--- a/src/citronlugd/daemon_administration.cpp
+++ b/src/citronlugd/daemon_administration.cpp
@@ -11,7 +11,9 @@
 class gathering {
 public:
     gathering(std::size_t expected, task_queue& queue, administration::callback<std::vector<Value>> done)
-        : left_{expected}, queue_{queue}, done_{std::move(done)} {}
+        : left_{expected}
+        , queue_{queue}
+        , done_{std::move(done)} {}
 
     auto add(std::optional<Value> value) -> void {
         const auto lock = std::lock_guard{guard_};
@@ -138,9 +140,10 @@
 
 auto daemon::write_config(const configuration& config, std::uint64_t expected_version,
                           callback<result<std::uint64_t>> done) -> void {
-    control_->write_config(config, expected_version, [this, done = std::move(done)](const result<std::uint64_t>& found) {
-        queue_.post([done, found] { done(found); });
-    });
+    control_->write_config(config, expected_version,
+                           [this, done = std::move(done)](const result<std::uint64_t>& found) {
+                               queue_.post([done, found] { done(found); });
+                           });
 }
 
 auto daemon::versions(callback<std::vector<instance_version>> done) -> void {
@@ -165,10 +168,10 @@
                 all->add(instance_version{instance, to.cell, own, true});
                 continue;
             }
-            peers_->config_version(to.address, [all, instance = instance, cell = to.cell](
-                                                   std::optional<std::uint64_t> version) {
-                all->add(instance_version{instance, cell, version.value_or(0), version.has_value()});
-            });
+            peers_->config_version(
+                to.address, [all, instance = instance, cell = to.cell](std::optional<std::uint64_t> version) {
+                    all->add(instance_version{instance, cell, version.value_or(0), version.has_value()});
+                });
         }
     });
 }
--- a/src/citronlugd/entry.cpp
+++ b/src/citronlugd/entry.cpp
@@ -17,6 +17,8 @@
 constexpr auto answer_grace = 150ms;
 /// A request that found no holder asks again after this time, or at once when the roles change.
 constexpr auto retry_interval = 100ms;
+/// Client account of requests without a key on open routes, so that a limit rule can name it.
+constexpr auto public_account = "public";
 constexpr auto max_waiting_per_account = std::size_t{5000};
 
 /// Secret for transaction ids, so that a session token is never accepted as one.
@@ -51,7 +53,8 @@
 };
 
 entry::entry(const process_settings& settings, control_plane& control,
-             std::vector<std::unique_ptr<holder_shard>>& shards, peer_rpc& peers, metrics& counters, event_sink events)
+             std::vector<std::unique_ptr<holder_shard>>& shards, peer_rpc& peers, metrics& counters,
+             event_sink events)
     : self_{settings.instance}
     , domain_{settings.domain}
     , limit_policy_{settings.limit_policy}
@@ -73,8 +76,11 @@
 
 auto entry::health(http_exchange& exchange) -> void {
     const auto now = clock_now();
-    const auto serving = view_->serving && !view_->leaving && !refusing_ && control_.config_current_until() > now;
-    const auto* text = view_->leaving || refusing_ ? "leaving" : serving ? "serving" : "no current configuration";
+    const auto serving =
+        view_->serving && !view_->leaving && !refusing_ && control_.config_current_until() > now;
+    const auto* text = view_->leaving || refusing_ ? "leaving"
+                       : serving                   ? "serving"
+                                                   : "no current configuration";
     exchange.reply(serving ? 200 : 503, QByteArray{"{\"status\":\""} + text + "\"}");
 }
 
@@ -122,6 +128,8 @@
         it.keyed = true;
         it.work.account = std::get<key_entry>(key).account;
         it.work.key = std::get<key_entry>(key).id;
+    } else {
+        it.work.account = account_id{public_account};
     }
     auto& work = it.work;
     work.step = to.step;
@@ -130,7 +138,8 @@
             open_token(to.transaction, transaction_secret(it.token_secret), work.account, wall_seconds());
         if (!succeeded(opened)) {
             return failure{it.keyed ? failure_code::no_route : failure_code::unauthorised,
-                           "there is no such transaction of this client account", {}};
+                           "there is no such transaction of this client account",
+                           {}};
         }
         const auto& token = std::get<session_token>(opened);
         to.route = route_id{token.database.value};
@@ -139,13 +148,15 @@
     const auto route = config.rules.routes.find(to.route);
     if (route == config.rules.routes.end()) {
         return failure{it.keyed ? failure_code::no_route : failure_code::unauthorised,
-                       it.keyed ? "there is no such route" : "this path needs a key", {}};
+                       it.keyed ? "there is no such route" : "this path needs a key",
+                       {}};
     }
     if (!it.keyed && !route->second.open) {
         return failure{failure_code::unauthorised, "this route needs a key in the header Authorization", {}};
     }
     if (it.keyed && control_.config_current_until() <= it.received) {
-        return failure{failure_code::no_authority, "this instance cannot tell whether keys are still valid", 500ms};
+        return failure{failure_code::no_authority, "this instance cannot tell whether keys are still valid",
+                       500ms};
     }
     auto parsed = parse_body(incoming.body, to.step);
     if (auto* error = std::get_if<failure>(&parsed)) {
@@ -205,14 +216,16 @@
 
 auto entry::admit(const call_pointer& it) -> void {
     // Ending a transaction takes no token: it frees resources.
-    const auto ends = it->work.step == transaction_step::commit || it->work.step == transaction_step::rollback;
+    const auto ends =
+        it->work.step == transaction_step::commit || it->work.step == transaction_step::rollback;
     auto* state = ends ? nullptr : state_of(it->work.account);
     if (state == nullptr) {
         dispatch(it);
         return;
     }
     if (state->waiting.size() >= max_waiting_per_account) {
-        refuse(it, failure{failure_code::rate_limited, "too many requests of the client account are waiting", 1s});
+        refuse(it, failure{failure_code::rate_limited, "too many requests of the client account are waiting",
+                           1s});
         return;
     }
     const auto account = it->work.account;
@@ -228,16 +241,22 @@
         return true;
     }
     if (now >= it->work.deadline) {
-        refuse(it, failure{failure_code::rate_limited, "no token of the rate limit within the deadline", 500ms});
+        refuse(it,
+               failure{failure_code::rate_limited, "no token of the rate limit within the deadline", 500ms});
         return true;
     }
     switch (state.policy->admit(now, it->work.deadline)) {
-    case admission::admitted: dispatch(it); return true;
+    case admission::admitted:
+        dispatch(it);
+        return true;
     case admission::refused:
         refuse(it, failure{failure_code::rate_limited, "the client account is over its rate", 1s});
         return true;
-    case admission::ask: state.wanted = true; return false;
-    case admission::wait: return false;
+    case admission::ask:
+        state.wanted = true;
+        return false;
+    case admission::wait:
+        return false;
     }
     return false;
 }
@@ -265,6 +284,7 @@
     const auto wanted = state.policy->ask_size(now);
     const auto location = control_.locate(role_id{role_kind::account, account.value});
     if (!location) {
+        control_.look_up(role_id{role_kind::account, account.value});
         state.policy->on_grant_failed(now);
         return;
     }
@@ -280,7 +300,8 @@
                       });
 }
 
-auto entry::on_grant(const account_id& account, time_point asked_at, std::optional<grant_reply> reply) -> void {
+auto entry::on_grant(const account_id& account, time_point asked_at, std::optional<grant_reply> reply)
+    -> void {
     const auto found = accounts_.find(account);
     if (found == accounts_.end()) {
         return;
@@ -290,6 +311,7 @@
     if (reply && reply->held) {
         state.policy->on_grant(now, asked_at, reply->tokens, reply->wait);
     } else {
+        control_.look_up(role_id{role_kind::account, account.value});
         state.policy->on_grant_failed(now);
     }
     pump(account, state);
@@ -300,8 +322,8 @@
     auto& work = it->work;
     if (it->keyed) {
         if (control_.config_current_until() <= now) {
-            refuse(it, failure{failure_code::no_authority, "this instance cannot tell whether keys are still valid",
-                               500ms});
+            refuse(it, failure{failure_code::no_authority,
+                               "this instance cannot tell whether keys are still valid", 500ms});
             return;
         }
         if (!view_->config->keys.is_valid(work.key)) {
@@ -319,11 +341,11 @@
     it->sent = true;
     if (location->holder == self_) {
         it->sent_to.clear();
-        shards_[shard_index(work.database, shards_.size())]->execute(
-            work, [this, it](answer value, epoch_number epoch) {
-                auto carried = std::make_shared<answer>(std::move(value));
-                queue_.post([this, it, carried, epoch] { on_reply(it, std::pair{std::move(*carried), epoch}); });
-            });
+        shards_[shard_index(work.database, shards_.size())]->execute(work, [this, it](answer value,
+                                                                                      epoch_number epoch) {
+            auto carried = std::make_shared<answer>(std::move(value));
+            queue_.post([this, it, carried, epoch] { on_reply(it, std::pair{std::move(*carried), epoch}); });
+        });
         return;
     }
     it->sent_to = location->peer_address;
@@ -340,15 +362,18 @@
     it->sent = false;
     const auto& work = it->work;
     const auto starts_fresh = work.step == transaction_step::none || work.step == transaction_step::begin;
-    const auto has_no_effect = starts_fresh && (work.mode == access_mode::read || work.step == transaction_step::begin);
+    const auto has_no_effect =
+        starts_fresh && (work.mode == access_mode::read || work.step == transaction_step::begin);
     if (const auto* why = std::get_if<call_failure>(&reply)) {
         if (*why == call_failure::not_sent ? starts_fresh : has_no_effect) {
             retry_later(it);
         } else if (*why == call_failure::not_sent) {
-            refuse(it, failure{failure_code::no_authority, "the holder of the transaction is not reachable", {}});
+            refuse(it,
+                   failure{failure_code::no_authority, "the holder of the transaction is not reachable", {}});
         } else {
-            refuse(it, failure{failure_code::connection_lost,
-                               "the connection to the holder failed; ask again with the same request id", 500ms},
+            refuse(it,
+                   failure{failure_code::connection_lost,
+                           "the connection to the holder failed; ask again with the same request id", 500ms},
                    verdict::unknown);
         }
         return;
@@ -360,14 +385,17 @@
             return;
         }
         if (value.error->code == failure_code::not_holder) {
-            value.error = failure{failure_code::transaction_ended, "the holder of the transaction has changed", {}};
+            value.error =
+                failure{failure_code::transaction_ended, "the holder of the transaction has changed", {}};
         }
     }
     if (value.outcome == verdict::done && work.mode == access_mode::write) {
         const auto location = control_.locate(database_role(work.database));
         if (location && location->epoch > epoch) {
-            refuse(it, failure{failure_code::no_authority,
-                               "the holder changed while the request ran; ask again with the same request id", 500ms},
+            refuse(it,
+                   failure{failure_code::no_authority,
+                           "the holder changed while the request ran; ask again with the same request id",
+                           500ms},
                    verdict::unknown);
             return;
         }
@@ -379,9 +407,11 @@
     it->sent = false;
     it->attempted = clock_now();
     if (it->attempted >= it->work.deadline) {
-        refuse(it, failure{failure_code::no_authority, "the database has no reachable holder at present", 1s});
+        refuse(it,
+               failure{failure_code::no_authority, "the database has no reachable holder at present", 1s});
         return;
     }
+    control_.look_up(database_role(it->work.database));
     retrying_.push_back(it);
 }
 
@@ -404,25 +434,29 @@
         if (it->work.session && value.outcome != verdict::done) {
             at = std::max(at, *it->work.session);
         }
-        session = seal(session_token{it->work.account, it->work.database, at, wall_seconds() + session_life_s},
-                       it->token_secret);
+        session =
+            seal(session_token{it->work.account, it->work.database, at, wall_seconds() + session_life_s},
+                 it->token_secret);
     }
     auto transaction = std::string{};
     if (value.outcome == verdict::done && it->work.step == transaction_step::begin) {
         // The token's database names the route here; account and expiry have their usual meaning.
-        transaction =
-            seal(session_token{it->work.account, database_id{it->work.route.value},
-                               position{value.transaction.epoch, value.transaction.number},
-                               wall_seconds() + transaction_life_s},
-                 transaction_secret(it->token_secret));
+        transaction = seal(session_token{it->work.account, database_id{it->work.route.value},
+                                         position{value.transaction.epoch, value.transaction.number},
+                                         wall_seconds() + transaction_life_s},
+                           transaction_secret(it->token_secret));
     }
     const auto retry = value.error ? value.error->retry_after : duration{};
-    it->exchange->reply(http_status(value), format_answer(value, session, transaction), "application/json", retry);
+    it->exchange->reply(http_status(value), format_answer(value, session, transaction), "application/json",
+                        retry);
     counters_.count("citronlug_requests_total", {{"outcome", std::string{name_of(value.outcome)}}});
     counters_.observe("citronlug_request_seconds", {}, clock_now() - it->received);
     if (value.outcome == verdict::unknown) {
-        events_(it->work.database.value, "outcome-unknown",
-                fmt::format("account={} request={}", it->work.account.value, it->work.id.value));
+        events_({.kind = "outcome-unknown",
+                 .detail = value.error ? value.error->message : std::string{},
+                 .database = it->work.database,
+                 .account = it->work.account,
+                 .request = it->work.id});
     }
 }
 
@@ -464,7 +498,8 @@
         }
         if (now - it->attempted >= retry_interval || now >= it->work.deadline) {
             if (now >= it->work.deadline) {
-                refuse(it, failure{failure_code::no_authority, "the database has no reachable holder at present", 1s});
+                refuse(it, failure{failure_code::no_authority,
+                                   "the database has no reachable holder at present", 1s});
             } else {
                 dispatch(it);
             }
@@ -481,12 +516,13 @@
     for (const auto& it : ended) {
         const auto sent = it->sent;
         if (sent && it->sent_to.empty()) {
-            shards_[shard_index(it->work.database, shards_.size())]->cancel(it->work.database, it->work.account,
-                                                                            it->work.id);
+            shards_[shard_index(it->work.database, shards_.size())]->cancel(it->work.database,
+                                                                            it->work.account, it->work.id);
         } else if (sent) {
             peers_.cancel(it->sent_to, it->work.database, it->work.account, it->work.id);
         }
-        const auto harmless = !sent || (it->work.mode == access_mode::read && it->work.step == transaction_step::none);
+        const auto harmless =
+            !sent || (it->work.mode == access_mode::read && it->work.step == transaction_step::none);
         refuse(it, failure{failure_code::deadline_exceeded, "no answer within the deadline", 500ms},
                harmless ? verdict::not_run : verdict::unknown);
     }
--- a/src/citronlugd/entry.h
+++ b/src/citronlugd/entry.h
@@ -25,7 +25,8 @@
 class entry {
 public:
     entry(const process_settings& settings, control_plane& control,
-          std::vector<std::unique_ptr<holder_shard>>& shards, peer_rpc& peers, metrics& counters, event_sink events);
+          std::vector<std::unique_ptr<holder_shard>>& shards, peer_rpc& peers, metrics& counters,
+          event_sink events);
     ~entry();
     entry(const entry&) = delete;
     auto operator=(const entry&) -> entry& = delete;
--- a/src/citronlugd/event_thread.cpp
+++ b/src/citronlugd/event_thread.cpp
@@ -46,7 +46,8 @@
     return true;
 }
 
-event_thread::event_thread(const std::string& name) : queue_{new task_queue} {
+event_thread::event_thread(const std::string& name)
+    : queue_{new task_queue} {
     thread_.setObjectName(QString::fromStdString(name));
     queue_->moveToThread(&thread_);
     QObject::connect(&thread_, &QThread::finished, queue_, &QObject::deleteLater);
--- a/src/citronlugd/holder_shard.cpp
+++ b/src/citronlugd/holder_shard.cpp
@@ -34,7 +34,10 @@
     };
 
     held(const database_settings& given, epoch_number given_epoch, time_point now, std::uint64_t number)
-        : settings{given}, epoch{given_epoch}, generation{number}, logic{given, given_epoch, now} {}
+        : settings{given}
+        , epoch{given_epoch}
+        , generation{number}
+        , logic{given, given_epoch, now} {}
 
     database_settings settings;
     epoch_number epoch;
@@ -152,7 +155,8 @@
     });
 }
 
-auto holder_shard::cancel(const database_id& database, const account_id& account, const request_id& id) -> void {
+auto holder_shard::cancel(const database_id& database, const account_id& account, const request_id& id)
+    -> void {
     thread_.post([this, database, account, id] {
         const auto it = holders_.find(database);
         if (it == holders_.end()) {
@@ -232,7 +236,8 @@
         return;
     }
     holder.performing = true;
-    for (auto actions = holder.logic.take_actions(); !actions.empty(); actions = holder.logic.take_actions()) {
+    for (auto actions = holder.logic.take_actions(); !actions.empty();
+         actions = holder.logic.take_actions()) {
         for (const auto& it : actions) {
             perform_one(holder, it);
         }
@@ -277,7 +282,7 @@
                           fmt::format("SELECT citronlug_follow('{}', {})", it->primary.value, it->term),
                           [](held&, const pipeline_result&) {});
     } else if (const auto* it = std::get_if<holder_event>(&action)) {
-        events_(holder.settings.database.value, it->kind, it->detail);
+        events_({.kind = it->kind, .detail = it->detail, .database = holder.settings.database});
     }
 }
 
@@ -303,7 +308,9 @@
             }
         });
     };
-    auto lost = [=] { with_holder([&](held& h) { h.logic.on_connection_lost(clock_now(), number); }); };
+    auto lost = [=] {
+        with_holder([&](held& h) { h.logic.on_connection_lost(clock_now(), number); });
+    };
     // A takeover uses the connections that the standby kept.
     for (auto it = standby_connections_.begin(); it != standby_connections_.end(); ++it) {
         if ((*it)->database == database && (*it)->member == action.member && (*it)->connection->is_open()) {
@@ -315,8 +322,8 @@
             return;
         }
     }
-    holder.connections[number] = std::make_unique<pg_connection>(action.member, database, options_, clock_now(),
-                                                                 connected, finished, lost);
+    holder.connections[number] = std::make_unique<pg_connection>(action.member, database, options_,
+                                                                 clock_now(), connected, finished, lost);
 }
 
 auto holder_shard::probe(held& holder, const probe_member& action) -> void {
@@ -338,8 +345,8 @@
         return; // a probe under way answers with the sequence it was sent with
     }
     state.pending = true;
-    auto report = [this, database, generation, member](std::uint64_t sequence, std::optional<member_status> status,
-                                                       bool drop) {
+    auto report = [this, database, generation, member](std::uint64_t sequence,
+                                                       std::optional<member_status> status, bool drop) {
         auto* found = find(database, generation);
         if (found == nullptr) {
             return;
@@ -427,15 +434,17 @@
     for (auto& it : standby_connections_) {
         it->connection->check_time(now);
     }
-    std::erase_if(standby_connections_, [&](const auto& it) { return it->failed && now - it->since > standby_retry; });
+    std::erase_if(standby_connections_,
+                  [&](const auto& it) { return it->failed && now - it->since > standby_retry; });
     for (const auto& database : standby_) {
         if (holders_.contains(database.database)) {
             continue;
         }
         for (const auto& member : database.members) {
-            auto n = std::count_if(standby_connections_.begin(), standby_connections_.end(), [&](const auto& it) {
-                return it->database == database.database && it->member == member;
-            });
+            auto n =
+                std::count_if(standby_connections_.begin(), standby_connections_.end(), [&](const auto& it) {
+                    return it->database == database.database && it->member == member;
+                });
             for (; n < standby_connections_per_member; ++n) {
                 auto fresh = std::make_unique<standby_connection>();
                 auto* raw = fresh.get();
--- a/src/citronlugd/holder_shard.h
+++ b/src/citronlugd/holder_shard.h
@@ -4,6 +4,7 @@
 #include "pg_connection.h"
 
 #include <citronlug/database_holder.h>
+#include <citronlug/timeline.h>
 
 #include <QTimer>
 
@@ -17,7 +18,8 @@
 
 /// Reports an answer together with the epoch under which the holder gave it. Called on the shard's thread.
 using answer_handler = std::function<void(answer value, epoch_number holder_epoch)>;
-using event_sink = std::function<void(const std::string& subject, const std::string& kind, const std::string& detail)>;
+/// Takes an event for log and time line; its time is set there. Thread-safe.
+using event_sink = std::function<void(timeline_event)>;
 
 /// The holders of some databases on one thread. Performs their actions: connections, statements, probes,
 /// answers. All public methods are thread-safe.
--- a/src/citronlugd/http_guard.cpp
+++ b/src/citronlugd/http_guard.cpp
@@ -66,9 +66,10 @@
     ++state_->rejected;
     release_announced();
     const auto body = fmt::format(R"({{"outcome":"not run","code":"{}","message":"{}"}})", code, message);
-    const auto text = fmt::format("HTTP/1.1 {} Refused\r\nContent-Type: application/json\r\nContent-Length: {}\r\n"
-                                  "Connection: close\r\n\r\n{}",
-                                  status, body.size(), body);
+    const auto text =
+        fmt::format("HTTP/1.1 {} Refused\r\nContent-Type: application/json\r\nContent-Length: {}\r\n"
+                    "Connection: close\r\n\r\n{}",
+                    status, body.size(), body);
     readAll();
     write(text.data(), static_cast<qint64>(text.size()));
     activity_ = clock_now();
@@ -139,7 +140,8 @@
     }
     auto key_count = 0;
     const auto key = header_value(head_, "authorization", key_count);
-    if (size > state_->limits.stranger_body_bytes && !(key_count == 1 && state_->check && state_->check(key))) {
+    if (size > state_->limits.stranger_body_bytes &&
+        !(key_count == 1 && state_->check && state_->check(key))) {
         reject(401, "unauthorised", "a body larger than 16 kB needs a valid key");
         return false;
     }
@@ -182,7 +184,8 @@
             abort();
         }
         return;
-    case phase::handling: return;
+    case phase::handling:
+        return;
     case phase::header:
     case phase::body:
         if (now - started_ > limits.request_time) {
@@ -202,7 +205,8 @@
     }
 }
 
-guarded_listener::guarded_listener(std::shared_ptr<http_guard_state> state) : state_{std::move(state)} {
+guarded_listener::guarded_listener(std::shared_ptr<http_guard_state> state)
+    : state_{std::move(state)} {
     setMaxPendingConnections(1024);
 }
 
--- a/src/citronlugd/http_server.cpp
+++ b/src/citronlugd/http_server.cpp
@@ -18,19 +18,26 @@
 
 auto method_name(QHttpServerRequest::Method method) -> std::string {
     switch (method) {
-    case QHttpServerRequest::Method::Get: return "GET";
-    case QHttpServerRequest::Method::Put: return "PUT";
-    case QHttpServerRequest::Method::Delete: return "DELETE";
-    case QHttpServerRequest::Method::Post: return "POST";
-    case QHttpServerRequest::Method::Head: return "HEAD";
-    default: return "OTHER";
+    case QHttpServerRequest::Method::Get:
+        return "GET";
+    case QHttpServerRequest::Method::Put:
+        return "PUT";
+    case QHttpServerRequest::Method::Delete:
+        return "DELETE";
+    case QHttpServerRequest::Method::Post:
+        return "POST";
+    case QHttpServerRequest::Method::Head:
+        return "HEAD";
+    default:
+        return "OTHER";
     }
 }
 
 class exchange final : public http_exchange {
 public:
     exchange(QHttpServerResponder responder, guarded_socket* socket)
-        : responder_{std::move(responder)}, socket_{socket} {}
+        : responder_{std::move(responder)}
+        , socket_{socket} {}
 
     ~exchange() override {
         if (responder_) {
@@ -48,9 +55,10 @@
             const auto code = static_cast<QHttpServerResponder::StatusCode>(status);
             if (retry_after > 0us) {
                 const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after).count();
-                responder_->write(body,
-                                  {{"Content-Type", content_type}, {"Retry-After", QByteArray::number(qint64{seconds})}},
-                                  code);
+                responder_->write(
+                    body,
+                    {{"Content-Type", content_type}, {"Retry-After", QByteArray::number(qint64{seconds})}},
+                    code);
             } else {
                 responder_->write(body, {{"Content-Type", content_type}}, code);
             }
@@ -75,7 +83,8 @@
 class http_server::implementation : public QAbstractHttpServer {
 public:
     implementation(http_limits limits, handler handle, key_check check)
-        : state_{std::make_shared<http_guard_state>()}, handle_{std::move(handle)} {
+        : state_{std::make_shared<http_guard_state>()}
+        , handle_{std::move(handle)} {
         state_->limits = limits;
         state_->check = std::move(check);
         sweep_.setInterval(500);
@@ -94,8 +103,8 @@
     auto handleRequest(const QHttpServerRequest& request, QTcpSocket* socket) -> bool override {
         auto* guarded = static_cast<guarded_socket*>(socket);
         const auto url = request.url();
-        handle_(http_request{method_name(request.method()), url.path(), url.query(), request.value("authorization"),
-                             request.body()},
+        handle_(http_request{method_name(request.method()), url.path(), url.query(),
+                             request.value("authorization"), request.body()},
                 std::make_shared<exchange>(makeResponder(request, socket), guarded));
         return true;
     }
--- a/src/citronlugd/http_server.h
+++ b/src/citronlugd/http_server.h
@@ -16,12 +16,12 @@
 struct http_limits {
     std::int64_t header_bytes = 16 * 1024;
     std::int64_t body_bytes = 1024 * 1024;
-    std::int64_t stranger_body_bytes = 16 * 1024; ///< without a valid key
+    std::int64_t stranger_body_bytes = 16 * 1024;     ///< without a valid key
     std::int64_t total_body_bytes = 64 * 1024 * 1024; ///< announced by all requests not yet complete
-    duration request_time = 10s;                  ///< from the first to the last byte of a request
-    duration first_request_time = 10s;            ///< from connecting to the first complete request
-    duration idle_time = 120s;                    ///< between requests
-    duration write_time = 10s;                    ///< without progress in sending an answer
+    duration request_time = 10s;                      ///< from the first to the last byte of a request
+    duration first_request_time = 10s;                ///< from connecting to the first complete request
+    duration idle_time = 120s;                        ///< between requests
+    duration write_time = 10s;                        ///< without progress in sending an answer
     std::size_t connections = 16000;
 };
 
@@ -41,8 +41,9 @@
     auto operator=(const http_exchange&) -> http_exchange& = delete;
     virtual ~http_exchange() = default;
     /// `retry_after` adds the header of that name, in whole seconds rounded up; zero leaves it out.
-    virtual auto reply(int status, const QByteArray& body, const QByteArray& content_type = "application/json",
-                       duration retry_after = {}) -> void = 0;
+    virtual auto reply(int status, const QByteArray& body,
+                       const QByteArray& content_type = "application/json", duration retry_after = {})
+        -> void = 0;
     /// False once the peer has closed the connection.
     [[nodiscard]] virtual auto connected() const -> bool = 0;
 };
--- a/src/citronlugd/http_server_test.cpp
+++ b/src/citronlugd/http_server_test.cpp
@@ -25,14 +25,17 @@
 /// Blocking client on a plain socket, so that it can break the protocol.
 class raw_client {
 public:
-    explicit raw_client(std::uint16_t port) : socket_{::socket(AF_INET, SOCK_STREAM, 0)} {
+    explicit raw_client(std::uint16_t port)
+        : socket_{::socket(AF_INET, SOCK_STREAM, 0)} {
         auto address = sockaddr_in{};
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         connected_ = ::connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
     }
-    raw_client(raw_client&& other) noexcept : socket_{std::exchange(other.socket_, -1)}, connected_{other.connected_} {}
+    raw_client(raw_client&& other) noexcept
+        : socket_{std::exchange(other.socket_, -1)}
+        , connected_{other.connected_} {}
     raw_client(const raw_client&) = delete;
     auto operator=(const raw_client&) -> raw_client& = delete;
     ~raw_client() {
@@ -51,7 +54,8 @@
         const auto end = clock_now() + std::chrono::milliseconds{ms};
         while (found.find(until) == std::string::npos) {
             auto it = pollfd{socket_, POLLIN, 0};
-            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - clock_now()).count();
+            const auto left =
+                std::chrono::duration_cast<std::chrono::milliseconds>(end - clock_now()).count();
             if (left <= 0 || ::poll(&it, 1, static_cast<int>(left)) <= 0) {
                 break;
             }
@@ -90,7 +94,7 @@
     std::uint16_t port = 0;
     std::vector<std::shared_ptr<http_exchange>> held; ///< of requests to /hold
 
-    auto start() -> void {
+    auto start()->void {
         application();
         thread = std::make_unique<event_thread>("server");
         thread->run([this] {
@@ -100,7 +104,8 @@
                     if (incoming.path == "/hold") {
                         held.push_back(std::move(exchange));
                     } else {
-                        exchange->reply(200, "size=" + QByteArray::number(incoming.body.size()), "text/plain");
+                        exchange->reply(200, "size=" + QByteArray::number(incoming.body.size()),
+                                        "text/plain");
                     }
                 },
                 [](const QByteArray& authorization) { return authorization == "Bearer good"; });
@@ -108,13 +113,13 @@
         });
     }
 
-    auto connections() -> std::size_t {
+    auto connections()->std::size_t {
         auto n = std::size_t{0};
         thread->run([&] { n = server->connections(); });
         return n;
     }
 
-    auto teardown() -> void override {
+    auto teardown()->void override {
         if (thread) {
             thread->run([this] {
                 held.clear();
--- a/src/citronlugd/peer_codec.cpp
+++ b/src/citronlugd/peer_codec.cpp
@@ -120,7 +120,8 @@
 
 auto decode(wire::CellMessage::Reader from) -> std::optional<peer_message> {
     switch (from.which()) {
-    case wire::CellMessage::HEARTBEAT: return decode_heartbeat<heartbeat_message>(from.getHeartbeat());
+    case wire::CellMessage::HEARTBEAT:
+        return decode_heartbeat<heartbeat_message>(from.getHeartbeat());
     case wire::CellMessage::HEARTBEAT_ANSWER: {
         auto it = decode_heartbeat<heartbeat_answer>(from.getHeartbeatAnswer());
         it.accepted = from.getHeartbeatAnswer().getAccepted();
--- a/src/citronlugd/peer_rpc.cpp
+++ b/src/citronlugd/peer_rpc.cpp
@@ -85,15 +85,20 @@
 class peer_rpc::implementation final : public kj::TaskSet::ErrorHandler {
 public:
     implementation(instance_id self, const std::string& secret, peer_services services)
-        : self_{std::move(self)}, inbound_{std::make_shared<inbound_state>()} {
+        : self_{std::move(self)}
+        , inbound_{std::make_shared<inbound_state>()} {
         inbound_->services = std::move(services);
         inbound_->key = derive_peer_key(secret);
-        inbound_->post = [this](std::function<void()> task) { post(std::move(task)); };
+        inbound_->post = [this](std::function<void()> task) {
+            post(std::move(task));
+        };
         if (pipe2(wake_, O_CLOEXEC | O_NONBLOCK) != 0) {
             throw std::runtime_error{"cannot create a pipe"};
         }
         auto ready = std::promise<void>{};
-        thread_ = std::thread{[this, &ready] { loop(ready); }};
+        thread_ = std::thread{[this, &ready] {
+            loop(ready);
+        }};
         ready.get_future().wait();
     }
     implementation(const implementation&) = delete;
@@ -146,15 +151,16 @@
 
     /// Sends a short call, which a live peer answers at once.
     template <class Start, class Done, class Fail>
-    auto call_short(const std::string& address, time_point deadline, Start start, Done done, Fail fail) -> void {
+    auto call_short(const std::string& address, time_point deadline, Start start, Done done, Fail fail)
+        -> void {
         call(address, deadline, false, std::move(start), std::move(done),
              [fail](call_failure /*why*/) { fail(); });
     }
 
     /// `start(peer)` returns the promise of the results, `done(results)` receives them.
     template <class Start, class Done, class Fail>
-    auto call(const std::string& address, time_point deadline, bool is_long, Start start, Done done, Fail fail)
-        -> void {
+    auto call(const std::string& address, time_point deadline, bool is_long, Start start, Done done,
+              Fail fail) -> void {
         post([=, this, start = std::move(start), done = std::move(done), fail = std::move(fail)]() mutable {
             auto& to = link_to(address);
             auto send = [=, this, &to](wire::Peer::Client& peer) mutable {
@@ -194,7 +200,9 @@
                 return;
             }
             to.waiting.push_back(
-                waiting_call{std::min(deadline, clock_now() + send_limit), send, [fail]() mutable { fail(call_failure::not_sent); }});
+                waiting_call{std::min(deadline, clock_now() + send_limit), send, [fail]() mutable {
+                                 fail(call_failure::not_sent);
+                             }});
             connect(to);
         });
     }
@@ -283,8 +291,7 @@
                     auto gate = to.connection->gate();
                     return gate.challengeRequest().send().then([this, gate](auto&& challenge) mutable {
                         auto enter = gate.enterRequest();
-                        const auto proof =
-                            make_peer_proof(inbound_->key, challenge.getNonce(), self_.value);
+                        const auto proof = make_peer_proof(inbound_->key, challenge.getNonce(), self_.value);
                         enter.setFrom(self_.value);
                         enter.setProof({reinterpret_cast<const kj::byte*>(proof.data()), proof.size()});
                         return enter.send();
@@ -464,7 +471,9 @@
             it.setRemainingUs((deadline - clock_now()).count());
             return it.send();
         },
-        [done](auto& it) { done(grant_reply{it.getHeld(), it.getTokens(), duration{it.getWaitUs()}}); },
+        [done](auto& it) {
+            done(grant_reply{it.getHeld(), it.getTokens(), duration{it.getWaitUs()}});
+        },
         [done] { done(std::nullopt); });
 }
 
@@ -491,7 +500,9 @@
             it.setVersion(version);
             return it.send();
         },
-        [done](auto& it) { done(config_reply{it.getVersion(), std::string{it.getText()}}); },
+        [done](auto& it) {
+            done(config_reply{it.getVersion(), std::string{it.getText()}});
+        },
         [done] { done(std::nullopt); });
 }
 
--- a/src/citronlugd/peer_rpc.h
+++ b/src/citronlugd/peer_rpc.h
@@ -36,7 +36,8 @@
 /// What peers ask of this instance. All functions are called on the peer thread and must not block; the
 /// reply functions are thread-safe.
 struct peer_services {
-    std::function<void(peer_message, hybrid_time, std::function<void(std::vector<peer_message>)>)> cell_message;
+    std::function<void(peer_message, hybrid_time, std::function<void(std::vector<peer_message>)>)>
+        cell_message;
     std::function<void(peer_message)> cell_reply; ///< answer to a message of this instance
     std::function<std::uint64_t()> config_version;
     std::function<void(request, std::function<void(answer, epoch_number)>)> execute;
@@ -73,7 +74,8 @@
     auto execute(const std::string& address, request work, std::function<void(execute_reply)> done) -> void;
     auto take_grant(const std::string& address, account_id account, std::uint32_t wanted, time_point deadline,
                     std::function<void(std::optional<grant_reply>)> done) -> void;
-    auto give_back(const std::string& address, account_id account, std::uint32_t tokens, duration age) -> void;
+    auto give_back(const std::string& address, account_id account, std::uint32_t tokens, duration age)
+        -> void;
     auto fetch_config(const std::string& address, std::uint64_t version,
                       std::function<void(std::optional<config_reply>)> done) -> void;
     auto locate(const std::string& address, role_id role,
--- /dev/null
+++ b/src/citronlugd/peer_rpc_test.cpp
@@ -0,0 +1,117 @@
+#include "event_thread.h"
+#include "peer_rpc.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <future>
+
+#include <citronlug/testing.h> // its macros for operator new must follow the other headers
+
+using namespace citronlug;
+
+/// Two instances that know the same secret, unless a test gives another one.
+TEST_GROUP_BASE(peers, citronlug::testing::story) {
+    std::atomic<int> executed = 0;
+    std::unique_ptr<peer_rpc> server;
+    std::unique_ptr<peer_rpc> client;
+    std::string address;
+    std::atomic<bool> answers = true;
+    std::vector<std::function<void(answer, epoch_number)>> unanswered; ///< used on the server's thread
+
+    auto start(const std::string& client_secret)->void {
+        auto services = peer_services{};
+        services.execute = [this](request work, std::function<void(answer, epoch_number)> done) {
+            ++executed;
+            if (!answers) {
+                unanswered.push_back(std::move(done));
+                return;
+            }
+            auto value = answer{};
+            value.outcome = verdict::done;
+            value.rows = {{"a", "b"}, {{"1", std::nullopt}, {work.body.text, work.body.parameters.at(0)}}, 7};
+            value.served_by = member_id{work.account.value};
+            done(std::move(value), 42);
+        };
+        services.config_version = [] {
+            return std::uint64_t{5};
+        };
+        server = std::make_unique<peer_rpc>(instance_id{"server"}, "secret", services);
+        address = "127.0.0.1:" + std::to_string(server->listen("127.0.0.1:0"));
+        client = std::make_unique<peer_rpc>(instance_id{"client"}, client_secret, peer_services{});
+    }
+
+    static auto sample(duration deadline)->request {
+        auto work = request{};
+        work.account = account_id{"shop"};
+        work.deadline = clock_now() + deadline;
+        work.body = {"SELECT", {std::string{"x\0y", 3}}};
+        return work;
+    }
+
+    auto execute(const std::string& to, duration deadline)->execute_reply {
+        auto reply = std::promise<execute_reply>{};
+        client->execute(to, sample(deadline), [&](execute_reply it) { reply.set_value(std::move(it)); });
+        return reply.get_future().get();
+    }
+
+    auto teardown()->void override {
+        client.reset();
+        server.reset();
+    }
+};
+
+TEST(peers, execute_a_request_and_return_the_whole_answer) {
+    start("secret");
+    const auto reply = execute(address, 2s);
+    CHECK((std::holds_alternative<std::pair<answer, epoch_number>>(reply)));
+    const auto& [value, epoch] = std::get<std::pair<answer, epoch_number>>(reply);
+    LONGS_EQUAL(42, epoch);
+    CHECK(value.outcome == verdict::done);
+    CHECK((value.rows == row_set{{"a", "b"}, {{"1", std::nullopt}, {"SELECT", std::string{"x\0y", 3}}}, 7}));
+}
+
+// Whoever can connect but does not know the secret must not run statements.
+TEST(peers, refuse_a_stranger) {
+    start("another secret");
+    const auto reply = execute(address, 2s);
+    CHECK(std::get<call_failure>(reply) == call_failure::not_sent);
+    LONGS_EQUAL(0, executed);
+    CHECK(server->counters().refused_proofs > 0);
+}
+
+// A call that cannot leave must be known as not sent soon, so that the entry can look for a new holder.
+TEST(peers, report_an_unreachable_peer_as_not_sent) {
+    start("secret");
+    const auto listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    auto name = sockaddr_in{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(listener, reinterpret_cast<sockaddr*>(&name), sizeof name);
+    ::listen(listener, 5); // accepts, but never answers
+    auto length = socklen_t{sizeof name};
+    ::getsockname(listener, reinterpret_cast<sockaddr*>(&name), &length);
+    const auto before = clock_now();
+    const auto silent = execute("127.0.0.1:" + std::to_string(ntohs(name.sin_port)), 5s);
+    CHECK(std::get<call_failure>(silent) == call_failure::not_sent);
+    CHECK(clock_now() - before < 1s);
+    ::close(listener);
+    const auto refused = execute("127.0.0.1:1", 5s);
+    CHECK(std::get<call_failure>(refused) == call_failure::not_sent);
+}
+
+// A peer that answers pings but is slow with a request is not silent.
+TEST(peers, wait_for_a_slow_request_and_report_a_lost_connection) {
+    start("secret");
+    execute(address, 2s);
+    answers = false;
+    auto reply = std::promise<execute_reply>{};
+    auto result = reply.get_future();
+    client->execute(address, sample(10s), [&](execute_reply it) { reply.set_value(std::move(it)); });
+    CHECK(result.wait_for(2500ms) == std::future_status::timeout);
+    server->stop();
+    CHECK(result.wait_for(2s) == std::future_status::ready);
+    CHECK(std::get<call_failure>(result.get()) == call_failure::lost);
+}
--- a/src/citronlugd/peer_server.cpp
+++ b/src/citronlugd/peer_server.cpp
@@ -35,7 +35,8 @@
 
 class peer_impl final : public wire::Peer::Server {
 public:
-    explicit peer_impl(std::shared_ptr<inbound_state> state) : state_{std::move(state)} {}
+    explicit peer_impl(std::shared_ptr<inbound_state> state)
+        : state_{std::move(state)} {}
 
     auto cellMessage(CellMessageContext context) -> kj::Promise<void> override {
         const auto params = context.getParams();
@@ -44,10 +45,10 @@
             return kj::READY_NOW;
         }
         auto [promise, fulfil] = make_reply<std::vector<peer_message>>(state_->post);
-        state_->services.cell_message(
-            std::move(*message),
-            hybrid_time{params.getWallUs(), params.getCounter(), instance_id{std::string{params.getSender()}}},
-            std::move(fulfil));
+        state_->services.cell_message(std::move(*message),
+                                      hybrid_time{params.getWallUs(), params.getCounter(),
+                                                  instance_id{std::string{params.getSender()}}},
+                                      std::move(fulfil));
         return promise.then([context](const std::vector<peer_message>& replies) mutable {
             auto list = context.getResults().initReplies(static_cast<unsigned>(replies.size()));
             for (auto n = 0U; n < list.size(); ++n) {
@@ -61,7 +62,8 @@
         context.releaseParams();
         if (!work) {
             auto value = answer{};
-            value.error = failure{failure_code::bad_request, "the peer sent a request that cannot be read", {}};
+            value.error =
+                failure{failure_code::bad_request, "the peer sent a request that cannot be read", {}};
             encode(value, 0, context.getResults().initAnswer());
             return kj::READY_NOW;
         }
@@ -151,7 +153,8 @@
 class gate_impl final : public wire::Gate::Server {
 public:
     gate_impl(std::shared_ptr<inbound_state> state, std::shared_ptr<connection_state> connection)
-        : state_{std::move(state)}, connection_{std::move(connection)} {
+        : state_{std::move(state)}
+        , connection_{std::move(connection)} {
         randombytes_buf(nonce_, sizeof nonce_);
     }
 
@@ -162,7 +165,8 @@
 
     auto enter(EnterContext context) -> kj::Promise<void> override {
         const auto params = context.getParams();
-        const auto expected = make_peer_proof(state_->key, kj::arrayPtr(nonce_, sizeof nonce_), std::string{params.getFrom()});
+        const auto expected =
+            make_peer_proof(state_->key, kj::arrayPtr(nonce_, sizeof nonce_), std::string{params.getFrom()});
         const auto proof = params.getProof();
         if (connection_->proved || proof.size() != expected.size() ||
             sodium_memcmp(proof.begin(), expected.data(), expected.size()) != 0) {
@@ -221,8 +225,9 @@
     auto text = std::string{reinterpret_cast<const char*>(nonce.begin()), nonce.size()};
     text += sender;
     auto proof = std::string(crypto_auth_BYTES, '\0');
-    crypto_auth(reinterpret_cast<unsigned char*>(proof.data()), reinterpret_cast<const unsigned char*>(text.data()),
-                text.size(), reinterpret_cast<const unsigned char*>(key.data()));
+    crypto_auth(reinterpret_cast<unsigned char*>(proof.data()),
+                reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+                reinterpret_cast<const unsigned char*>(key.data()));
     return proof;
 }
 
--- a/src/citronlugd/pg_connection.cpp
+++ b/src/citronlugd/pg_connection.cpp
@@ -36,12 +36,16 @@
 pg_connection::pg_connection(const member_id& member, const database_id& database, const pg_options& options,
                              time_point now, connected_handler connected, result_handler finished,
                              lost_handler lost)
-    : started_{now}, connected_{std::move(connected)}, finished_{std::move(finished)}, lost_{std::move(lost)} {
+    : started_{now}
+    , connected_{std::move(connected)}
+    , finished_{std::move(finished)}
+    , lost_{std::move(lost)} {
     const auto colon = member.value.rfind(':');
     const auto host = member.value.substr(0, colon);
     const auto port = colon == std::string::npos ? std::string{"5432"} : member.value.substr(colon + 1);
-    const char* keywords[] = {"hostaddr", "port",     "user",      "password",  "dbname",
-                              "sslmode",  "gssencmode", "application_name", "client_encoding", nullptr};
+    const char* keywords[] = {"hostaddr",        "port",    "user",       "password",
+                              "dbname",          "sslmode", "gssencmode", "application_name",
+                              "client_encoding", nullptr};
     const char* values[] = {host.c_str(),
                             port.c_str(),
                             options.user.c_str(),
@@ -99,8 +103,12 @@
 
 auto pg_connection::poll_connect() -> void {
     switch (PQconnectPoll(connection_)) {
-    case PGRES_POLLING_READING: watch(true, false); return;
-    case PGRES_POLLING_WRITING: watch(false, true); return;
+    case PGRES_POLLING_READING:
+        watch(true, false);
+        return;
+    case PGRES_POLLING_WRITING:
+        watch(false, true);
+        return;
     case PGRES_POLLING_OK:
         if (PQsetnonblocking(connection_, 1) != 0 || PQenterPipelineMode(connection_) != 1) {
             fail("cannot enter pipeline mode");
@@ -110,7 +118,9 @@
         watch(true, false);
         connected_(true); // may destroy this object
         return;
-    default: fail(one_line(PQerrorMessage(connection_))); return;
+    default:
+        fail(one_line(PQerrorMessage(connection_)));
+        return;
     }
 }
 
@@ -132,12 +142,12 @@
         for (const auto& parameter : it.parameters) {
             values.push_back(parameter ? parameter->c_str() : nullptr);
         }
-        sent = sent && PQsendQueryParams(connection_, it.text.c_str(), static_cast<int>(values.size()), nullptr,
-                                         values.data(), nullptr, nullptr, 0) == 1;
+        sent = sent && PQsendQueryParams(connection_, it.text.c_str(), static_cast<int>(values.size()),
+                                         nullptr, values.data(), nullptr, nullptr, 0) == 1;
     }
     if (!sent) {
-        // Before PQflush nothing has left, unless libpq's buffer overflowed, which only large pipelines cause.
-        // libpq itself flushes beyond 8 kB, but without the final sync the server never commits.
+        // Before PQflush nothing has left, unless libpq's buffer overflowed, which only large pipelines
+        // cause. libpq itself flushes beyond 8 kB, but without the final sync the server never commits.
         QTimer::singleShot(0, &guard_, [this] {
             state_ = state::failed;
             finish(pipeline_status::not_sent);
@@ -235,8 +245,9 @@
                 if (PQgetisnull(result, row, column) != 0) {
                     cells.emplace_back(std::nullopt);
                 } else {
-                    cells.emplace_back(std::string{PQgetvalue(result, row, column),
-                                                   static_cast<std::size_t>(PQgetlength(result, row, column))});
+                    cells.emplace_back(
+                        std::string{PQgetvalue(result, row, column),
+                                    static_cast<std::size_t>(PQgetlength(result, row, column))});
                 }
             }
         }
@@ -246,7 +257,8 @@
         outcome_.results.push_back(std::move(rows));
         return;
     }
-    case PGRES_PIPELINE_ABORTED: return;
+    case PGRES_PIPELINE_ABORTED:
+        return;
     default:
         if (!refused_) {
             refused_ = true;
--- a/src/citronlugd/pg_connection.h
+++ b/src/citronlugd/pg_connection.h
@@ -28,8 +28,8 @@
 
     /// Starts to connect. `connected` is called once, later. `lost` is called once, later, if an established
     /// connection fails while no pipeline is under way.
-    pg_connection(const member_id& member, const database_id& database, const pg_options& options, time_point now,
-                  connected_handler connected, result_handler finished, lost_handler lost);
+    pg_connection(const member_id& member, const database_id& database, const pg_options& options,
+                  time_point now, connected_handler connected, result_handler finished, lost_handler lost);
     ~pg_connection();
     pg_connection(const pg_connection&) = delete;
     auto operator=(const pg_connection&) -> pg_connection& = delete;
--- a/src/citronlugd/store_client.cpp
+++ b/src/citronlugd/store_client.cpp
@@ -25,7 +25,8 @@
 } // namespace
 
 store_client::store_client(const std::string& address, const instance_id& self)
-    : base_{"http://" + text(address)}, self_{QByteArray::fromStdString(self.value)} {}
+    : base_{"http://" + text(address)}
+    , self_{QByteArray::fromStdString(self.value)} {}
 
 auto store_client::request(const QString& path, duration limit) const -> QNetworkRequest {
     auto it = QNetworkRequest{QUrl{base_ + path}};
@@ -57,7 +58,8 @@
     watch(key, UINT64_MAX, duration{}, std::move(done));
 }
 
-auto store_client::watch(const std::string& key, std::uint64_t after, duration wait, reply_handler done) -> void {
+auto store_client::watch(const std::string& key, std::uint64_t after, duration wait, reply_handler done)
+    -> void {
     const auto is_get = after == UINT64_MAX;
     auto path = "/objects/" + text(key);
     if (!is_get) {
--- a/src/citronlugd/store_client.h
+++ b/src/citronlugd/store_client.h
@@ -22,8 +22,8 @@
 
     auto get(const std::string& key, reply_handler done) -> void;
     /// Conditional update; `expected_version` 0 means that the object must not exist.
-    auto put(const std::string& key, const std::string& value, std::uint64_t expected_version, reply_handler done)
-        -> void;
+    auto put(const std::string& key, const std::string& value, std::uint64_t expected_version,
+             reply_handler done) -> void;
     /// Waits at the store until the object is newer than `after`. `not_found`: nothing newer within `wait`.
     auto watch(const std::string& key, std::uint64_t after, duration wait, reply_handler done) -> void;
     auto instances(std::function<void(std::optional<std::vector<listed_instance>>)> done) -> void;
