--- a/src/libcitronlug/cell_simulation.h
+++ b/src/libcitronlug/cell_simulation.h
@@ -13,16 +13,24 @@
     std::string id;
     std::string domain;
     double clock_rate = 1.0;
+    time_point true_start = at(0ms); ///< moment at which the local clock showed `local_start`
+    time_point local_start = at(0ms);
     std::unique_ptr<cell_node> node; ///< null while it is down
     incarnation run = 0;
     time_point paused_until;
     bool reaches_store = true;
-    std::deque<std::function<void()>> backlog; ///< events that arrived during a pause
     std::map<role_id, epoch_number> held;
     time_point believes_until; ///< true time
     int store_calls = 0;
 };
 
+/// What a test does to one store call.
+struct store_fate {
+    bool lost = false; ///< fails without an effect
+    duration before_effect{};
+    duration before_reply{};
+};
+
 /// A cell in true time. All randomness comes from the seed.
 class cell_simulation {
 public:
@@ -53,21 +61,32 @@
     time_point now = at(0ms);
     std::function<void(std::size_t)> after_event; ///< called with the node that had an event
     std::function<bool(std::size_t from, const send_peer&)> filter; ///< false drops the message
+    std::function<store_fate(std::size_t from, bool is_write)> store_filter;
 
     [[nodiscard]] auto uniform() -> double { return std::uniform_real_distribution<>{}(random_); }
     [[nodiscard]] auto below(int n) -> int { return std::uniform_int_distribution<>{0, n - 1}(random_); }
     [[nodiscard]] auto local(std::size_t n) const -> time_point {
-        return at(std::chrono::duration_cast<duration>((now - at(0ms)) * nodes[n]->clock_rate));
+        const auto& it = *nodes[n];
+        return it.local_start + std::chrono::duration_cast<duration>((now - it.true_start) * it.clock_rate);
     }
     [[nodiscard]] auto true_time(std::size_t n, time_point t) const -> time_point {
-        return at(std::chrono::duration_cast<duration>((t - at(0ms)) / nodes[n]->clock_rate));
+        const auto& it = *nodes[n];
+        return it.true_start + std::chrono::duration_cast<duration>((t - it.local_start) / it.clock_rate);
+    }
+    /// Changes the rate of a clock, which goes on from its present time.
+    auto set_rate(std::size_t n, double rate) -> void {
+        nodes[n]->local_start = local(n);
+        nodes[n]->true_start = now;
+        nodes[n]->clock_rate = rate;
+    }
+    auto set_roles(std::size_t n) -> void {
+        deliver(n, nodes[n]->run, [this, n] { nodes[n]->node->set_roles(local(n), roles); });
     }
 
     auto start(std::size_t n) -> void {
         auto& it = *nodes[n];
         it.run = random_();
         it.held.clear();
-        it.backlog.clear();
         it.paused_until = now;
         it.believes_until = at(0ms);
         auto self =
@@ -94,6 +113,7 @@
             }
         }
     }
+    auto cut(std::size_t a, std::size_t b, bool both = true) -> void { blocked[a][b] = blocked[b][a] = both; }
     auto heal() -> void {
         split(0);
         loss = duplication = store_loss = 0;
@@ -201,6 +221,13 @@
                 call_store(n, put->call, *put);
             } else if (auto* gained = std::get_if<role_gained>(&action)) {
                 it.held[gained->role] = gained->epoch;
+                auto& newest = epochs_[gained->role];
+                if (gained->epoch <= newest) {
+                    faults.push_back(fmt::format("{} us: {} gains {} with the old epoch {}",
+                                                 (now - at(0ms)).count(), it.id, gained->role.name,
+                                                 gained->epoch));
+                }
+                newest = std::max(newest, gained->epoch);
             } else if (auto* lost = std::get_if<role_lost>(&action)) {
                 it.held.erase(lost->role);
             } else if (auto* event = std::get_if<cell_event>(&action)) {
@@ -248,7 +275,8 @@
                 deliver(n, run, [this, n, call, it] { nodes[n]->node->on_store_reply(local(n), call, it); });
             });
         };
-        if (!store_up || !nodes[n]->reaches_store || uniform() < store_loss / 3) {
+        const auto fate = store_filter ? store_filter(n, put.has_value()) : store_fate{};
+        if (fate.lost || !store_up || !nodes[n]->reaches_store || uniform() < store_loss / 3) {
             reply(300ms, {});
             return;
         }
@@ -257,10 +285,11 @@
         if (late) {
             reply(300ms, {});
         }
-        after(late ? duration{300ms} + 1000 * delay() / 3 : delay(), [this, reply, put, answer_lost, late] {
+        const auto wait = fate.before_effect + (late ? duration{300ms} + 1000 * delay() / 3 : delay());
+        after(wait, [this, reply, put, answer_lost, late, fate] {
             const auto answer = effect(put);
             if (!late) {
-                answer_lost ? reply(300ms, {}) : reply(delay(), answer);
+                answer_lost ? reply(300ms, {}) : reply(delay() + fate.before_reply, answer);
             }
         });
     }
@@ -281,6 +310,7 @@
     std::priority_queue<entry> queue_;
     std::uint64_t sequence_ = 0;
     std::string value_;
+    std::map<role_id, epoch_number> epochs_;
 };
 
 inline auto database_role(const std::string& name) -> role_id {
