Give a commit without a request id one that a repetition finds

A commit whose answer was lost was answered with "not run" when the caller repeated it without a request id, although the transaction was committed: each attempt had a random id of its own, so the record of the first was never found. The case testsuite/repeated-commit showed it.

--- a/src/citronlugd/entry.cpp
+++ b/src/citronlugd/entry.cpp
@@ -167,7 +167,11 @@
         if (work.mode == access_mode::write && work.step == transaction_step::none) {
             return failure{failure_code::bad_request, "request_id is missing; a write needs one", {}};
         }
-        body.request = fmt::format("{}-{:x}-{}", self_.value, randombytes_random(), ++generated_);
+        // A repeated commit must find the record of the first one, also through another instance.
+        body.request = work.step == transaction_step::commit
+                           ? fmt::format("commit-{}-{}-{}", work.database.value, work.transaction.epoch,
+                                         work.transaction.number)
+                           : fmt::format("{}-{:x}-{}", self_.value, randombytes_random(), ++generated_);
     }
     work.id = request_id{std::move(body.request)};
     if (!body.session.empty()) {
