--- a/src/citronlug/commands.cpp
+++ b/src/citronlug/commands.cpp
@@ -119,9 +119,9 @@
 }
 
 auto issue(const command_line& line, command_context& context) -> exit_code {
-    const auto requester = option(line, "for");
+    const auto requester = option(line, "requester");
     if (line.words.size() != 3 || requester.empty()) {
-        return report_usage(context, "key issue ACCOUNT --for 'WHO ASKED' [--wait]");
+        return report_usage(context, "key issue ACCOUNT --requester 'WHO ASKED' [--wait]");
     }
     const auto outcome = context.server.post("/keys", {{"account", QString::fromStdString(line.words[2])},
                                                        {"requester", QString::fromStdString(requester)}});
@@ -129,6 +129,13 @@
         return report_failure(line, context, outcome);
     }
     const auto answer = body_of(outcome);
+    if (answer.value("repeated").toBool()) {
+        fmt::print(context.err,
+                   "the key was issued, but the answer with its secret was lost; withdraw it and issue "
+                   "another: {}\n",
+                   text(answer.value("change").toObject(), "summary"));
+        return exit_code::failed;
+    }
     if (!line.json) {
         // Only the key goes to standard output, so that it can be piped to where it is needed.
         fmt::print(context.out, "{}\n", text(answer, "key"));
@@ -282,7 +289,8 @@
     if (line.json) {
         print_json(context, answer);
     } else {
-        fmt::print(context.err, "version {} is accepted\n", version);
+        fmt::print(context.err, "version {} {}\n", version,
+                   answer.value("already").toBool() ? "has it already" : "is accepted");
         if (in_force) {
             fmt::print(context.err, "version {} is in force at all instances\n", version);
         }
--- a/src/citronlugd/admin_api_test.cpp
+++ b/src/citronlugd/admin_api_test.cpp
@@ -48,10 +48,7 @@
     }
     auto write_config(const configuration& config, std::uint64_t expected,
                       callback<result<std::uint64_t>> done) -> void override {
-        if (late) {
-            update(*late);
-            late.reset();
-        }
+        settle();
         const auto fault = faults.empty() ? store_fault::none : faults.front();
         if (!faults.empty()) {
             faults.pop_front();
@@ -83,6 +80,14 @@
     }
     auto wall_seconds() -> std::int64_t override { return 1'780'000'000; }
 
+    /// Lets a delayed update reach the store.
+    auto settle() -> void {
+        if (late) {
+            update(*late);
+            late.reset();
+        }
+    }
+
     configuration stored = initial_configuration();
     std::deque<store_fault> faults;
     int failing_reads = 0;
@@ -231,6 +236,21 @@
     CHECK(!answer["confirmed"].toBool() && !answer["warning"].toString().isEmpty());
 }
 
+// Guards against a change that is made twice because its answer was lost on the way to the operator.
+TEST(applying_rules, is_done_once_however_often_it_is_asked_for) {
+    const auto order = QJsonObject{
+        {"text", rules_1}, {"expected_version", 0}, {"summary", "first"}, {"change_id", "0123456789abcdef"}};
+    CHECK_EQUAL(200, call("POST", "/rules", order));
+    CHECK_EQUAL(200, call("POST", "/rules", order));
+    CHECK(answer["repeated"].toBool() && answer["version"].toInt() == 1);
+    const auto key = QJsonObject{{"account", "shop"}, {"requester", "x"}, {"change_id", "fedcba9876543210"}};
+    CHECK_EQUAL(200, call("POST", "/keys", key));
+    CHECK_EQUAL(200, call("POST", "/keys", key));
+    CHECK(!answer.contains("key") && answer["repeated"].toBool());
+    CHECK_EQUAL(1U, daemon.stored.keys.size());
+    CHECK_EQUAL(400, call("POST", "/keys", {{"account", "shop"}, {"requester", "x"}, {"change_id", "a b"}}));
+}
+
 TEST(applying_rules, does_not_guess_when_the_store_stays_silent) {
     daemon.faults = {store_fault::lost_answer};
     CHECK_EQUAL(200, apply(rules_1, 0));
@@ -256,6 +276,7 @@
         const auto status = commutes
                                 ? story.call("POST", "/keys", {{"account", "shop"}, {"requester", "wanted"}})
                                 : story.apply(rules_2, 1, "wanted");
+        story.daemon.settle();
         const auto& history = story.daemon.stored.history;
         const auto n = std::count_if(history.begin(), history.end(), [](const auto& it) {
             return it.summary.find("wanted") != std::string::npos;
