--- a/src/citronlugd/http_guard.cpp
+++ b/src/citronlugd/http_guard.cpp
@@ -38,7 +38,7 @@
     , connected_at_{clock_now()}
     , activity_{connected_at_}
     , progress_{connected_at_} {
-    setReadBufferSize(256 * 1024);
+    setReadBufferSize(qint64{256} * 1024);
     state_->sockets.insert(this);
     connect(this, &QTcpSocket::readyRead, this, [this] { scan(); });
     connect(this, &QTcpSocket::bytesWritten, this, [this] { progress_ = clock_now(); });
--- a/src/citronlugd/peer_rpc.cpp
+++ b/src/citronlugd/peer_rpc.cpp
@@ -103,7 +103,7 @@
     }
     implementation(const implementation&) = delete;
     auto operator=(const implementation&) -> implementation& = delete;
-    ~implementation() { stop(); }
+    virtual ~implementation() { stop(); }
 
     auto stop() -> void {
         if (thread_.joinable()) {
--- a/src/citronlugd/peer_rpc_test.cpp
+++ b/src/citronlugd/peer_rpc_test.cpp
@@ -89,8 +89,8 @@
     auto name = sockaddr_in{};
     name.sin_family = AF_INET;
     name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(listener, reinterpret_cast<sockaddr*>(&name), sizeof name);
-    ::listen(listener, 5); // accepts, but never answers
+    LONGS_EQUAL(0, ::bind(listener, reinterpret_cast<sockaddr*>(&name), sizeof name));
+    LONGS_EQUAL(0, ::listen(listener, 5)); // accepts, but never answers
     auto length = socklen_t{sizeof name};
     ::getsockname(listener, reinterpret_cast<sockaddr*>(&name), &length);
     const auto before = clock_now();
--- a/src/citronlugd/peer_server.cpp
+++ b/src/citronlugd/peer_server.cpp
@@ -158,6 +158,9 @@
         randombytes_buf(nonce_, sizeof nonce_);
     }
 
+    virtual ~gate_impl() = default;
+    KJ_DISALLOW_COPY(gate_impl);
+
     auto challenge(ChallengeContext context) -> kj::Promise<void> override {
         context.getResults().setNonce(kj::arrayPtr(nonce_, sizeof nonce_));
         return kj::READY_NOW;
