--- a/src/libcitronlug/observation_test.cpp
+++ b/src/libcitronlug/observation_test.cpp
@@ -158,7 +158,7 @@
             const auto n = static_cast<std::size_t>(*rc::gen::inRange(0, processes));
             const auto name = std::to_string(step);
             const auto wall = [&](std::size_t process) {
-                return step * 100 + skew[process];
+                return std::int64_t{step} * 100 + skew[process];
             };
             lines[n]->record(wall(n), {{}, name});
             if (!last[n].empty()) {
