--- a/src/bench/checker.cpp
+++ b/src/bench/checker.cpp
@@ -21,9 +21,7 @@
     const request_sent* sent = nullptr;
     const answer_received* answer = nullptr; ///< null: none came
 
-    [[nodiscard]] auto done() const -> bool {
-        return answer != nullptr && answer->outcome == verdict::done;
-    }
+    [[nodiscard]] auto done() const -> bool { return answer != nullptr && answer->outcome == verdict::done; }
 };
 
 /// Where a request took effect.
@@ -53,7 +51,8 @@
 
     auto run() -> check_report {
         for (const auto& [number, it] : attempts_) {
-            if (it.sent != nullptr && it.sent->mode == access_mode::read && it.done() && !it.sent->row.empty()) {
+            if (it.sent != nullptr && it.sent->mode == access_mode::read && it.done() &&
+                !it.sent->row.empty()) {
                 check_session(it);
                 check_age(it);
             }
@@ -103,8 +102,9 @@
             const auto rank = [](const member_log* it) {
                 return std::pair{it->term, it->entries.empty() ? log_position{0} : it->entries.back().at.log};
             };
-            const auto* const last = *std::max_element(
-                members.begin(), members.end(), [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
+            const auto* const last =
+                *std::max_element(members.begin(), members.end(),
+                                  [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
             auto seen = std::set<std::tuple<position, time_point, request_id>>{};
             const auto enter = [&](const log_item& it, bool final) {
                 // One entry is in the logs of several members.
@@ -217,8 +217,8 @@
                                 read.answer->reached.log < write.answer->reached.log;
             if (older || behind) {
                 report(violation_kind::own_write_missing, sent.at, name_of_request(sent),
-                       fmt::format("session {} read {} of {} after its write {} was acknowledged", sent.session,
-                                   value.value_or("nothing"), sent.row, write.sent->id.value));
+                       fmt::format("session {} read {} of {} after its write {} was acknowledged",
+                                   sent.session, value.value_or("nothing"), sent.row, write.sent->id.value));
                 return;
             }
         }
@@ -258,8 +258,8 @@
         }
         if (is_overwritten(row, value, sent.at - *read.answer->data_age)) {
             report(violation_kind::understated_age, sent.at, name_of_request(sent),
-                   fmt::format("{} of {} is older than the stated {} ms{}", value.value_or("nothing"), sent.row,
-                               read.answer->data_age->count() / 1000,
+                   fmt::format("{} of {} is older than the stated {} ms{}", value.value_or("nothing"),
+                               sent.row, read.answer->data_age->count() / 1000,
                                read.answer->from_replica ? ", from a replica" : ""));
         }
     }
@@ -329,8 +329,8 @@
         if (ended && entry.committed > *ended) {
             return report(violation_kind::superseded_write, entry.committed, name, place);
         }
-        // Without replication before the acknowledgement, the end of the term may take the write along, but only
-        // if it was acknowledged before that end.
+        // Without replication before the acknowledgement, the end of the term may take the write along, but
+        // only if it was acknowledged before that end.
         if (acknowledged->sent->ack == ack_mode::primary && ended &&
             answered <= *ended + settings_.answer_transit) {
             ++report_.lost_with_primary;
@@ -351,9 +351,10 @@
         examined(violation_kind::false_not_run);
         for (const auto* list : {&where.final, &where.removed}) {
             for (const auto* it : *list) {
-                const auto explained = std::any_of(sendings.begin(), sendings.end(), [&](const attempt& other) {
-                    return other.sent->at <= it->committed && !is_refused(other);
-                });
+                const auto explained =
+                    std::any_of(sendings.begin(), sendings.end(), [&](const attempt& other) {
+                        return other.sent->at <= it->committed && !is_refused(other);
+                    });
                 if (!explained) {
                     report(violation_kind::false_not_run, it->committed, name,
                            fmt::format("in the log of term {} at position {}", it->at.term, it->at.log));
@@ -364,8 +365,8 @@
     }
 
     /// Effects after the revocation of the key, whatever the caller was told.
-    auto check_late_commit(const request_name& name, const std::vector<attempt>& sendings, const effects& where)
-        -> void {
+    auto check_late_commit(const request_name& name, const std::vector<attempt>& sendings,
+                           const effects& where) -> void {
         const auto found = revoked_.find(sendings.front().sent->key);
         if (found == revoked_.end()) {
             return;
@@ -379,7 +380,8 @@
         for (const auto* list : {&where.final, &where.removed}) {
             for (const auto* it : *list) {
                 if (!reported && it->committed > limit) {
-                    report(violation_kind::revoked_key, it->committed, name, "committed after the revocation");
+                    report(violation_kind::revoked_key, it->committed, name,
+                           "committed after the revocation");
                     return;
                 }
             }
@@ -412,8 +414,8 @@
         }
         for (const auto& [name, sendings] : requests_) {
             const auto found = effects_.find(name);
-            const auto served = std::any_of(sendings.begin(), sendings.end(),
-                                            [](const attempt& it) { return it.done(); });
+            const auto served =
+                std::any_of(sendings.begin(), sendings.end(), [](const attempt& it) { return it.done(); });
             if (std::get<account_id>(name) != account || served || found == effects_.end()) {
                 continue;
             }
@@ -440,7 +442,8 @@
         for (const auto& it : find_limit_excess(std::move(runs), rates, burst)) {
             const auto length = std::chrono::duration<double>(it.to - it.from).count();
             report(violation_kind::limit_exceeded, it.from, {database_id{}, account, request_id{}},
-                   fmt::format("{} requests ran within {:.3f} s; {:.1f} are allowed", it.count, length, it.allowed));
+                   fmt::format("{} requests ran within {:.3f} s; {:.1f} are allowed", it.count, length,
+                               it.allowed));
         }
     }
 
@@ -466,7 +469,8 @@
                                                   [&](const violation& it) { return it.kind == kind; }));
 }
 
-auto check_history(const std::vector<history_record>& history, const check_settings& settings) -> check_report {
+auto check_history(const std::vector<history_record>& history, const check_settings& settings)
+    -> check_report {
     return checker{history, settings}.run();
 }
 
--- a/src/bench/checker.h
+++ b/src/bench/checker.h
@@ -11,8 +11,8 @@
 #include <variant>
 #include <vector>
 
-/// Independent check of a recorded run. It shares only plain types with the programs under test. All times are
-/// of one clock: the machine's monotonic clock, which the database stand-in uses in its log too.
+/// Independent check of a recorded run. It shares only plain types with the programs under test. All times
+/// are of one clock: the machine's monotonic clock, which the database stand-in uses in its log too.
 namespace citronlug::bench {
 
 /// One sending of a request. A retry is another sending with the same id.
@@ -88,19 +88,19 @@
     term_number term = 0;
 };
 
-using history_record = std::variant<request_sent, answer_received, member_log, key_revoked, account_limit,
-                                    term_superseded>;
+using history_record =
+    std::variant<request_sent, answer_received, member_log, key_revoked, account_limit, term_superseded>;
 
 enum class violation_kind {
-    own_write_missing,     ///< a read did not see a write acknowledged to its session
-    stale_read,            ///< a read was older than it accepts
-    understated_age,       ///< a read was older than its answer states
-    run_twice,             ///< a non-idempotent request took effect more than once
-    write_lost,            ///< an acknowledged write is not in the final log
-    superseded_write,      ///< a write committed after its term was superseded was acknowledged
-    limit_exceeded,        ///< more requests ran than rate * T + burst in a window of length T
-    false_not_run,         ///< answered "not run", but took effect
-    revoked_key,           ///< ran more than 3 s after the revocation of its key
+    own_write_missing, ///< a read did not see a write acknowledged to its session
+    stale_read,        ///< a read was older than it accepts
+    understated_age,   ///< a read was older than its answer states
+    run_twice,         ///< a non-idempotent request took effect more than once
+    write_lost,        ///< an acknowledged write is not in the final log
+    superseded_write,  ///< a write committed after its term was superseded was acknowledged
+    limit_exceeded,    ///< more requests ran than rate * T + burst in a window of length T
+    false_not_run,     ///< answered "not run", but took effect
+    revoked_key,       ///< ran more than 3 s after the revocation of its key
 };
 
 inline constexpr std::size_t violation_kinds = 9;
@@ -117,8 +117,8 @@
 struct check_settings {
     duration revocation_limit = 3s; ///< until a revoked key stops working
     duration limit_change = 6s;     ///< until a changed limit is in force everywhere; the larger one counts
-    /// Longest time from the sending of an answer to its record. It is the tolerance for acknowledgements that
-    /// were on their way when a term was superseded.
+    /// Longest time from the sending of an answer to its record. It is the tolerance for acknowledgements
+    /// that were on their way when a term was superseded.
     duration answer_transit = 50ms;
 };
 
@@ -134,8 +134,8 @@
 };
 
 /// Checks the history; the records may come in any order.
-[[nodiscard]] auto check_history(const std::vector<history_record>& history, const check_settings& settings = {})
-    -> check_report;
+[[nodiscard]] auto check_history(const std::vector<history_record>& history,
+                                 const check_settings& settings = {}) -> check_report;
 
 } // namespace citronlug::bench
 
--- a/src/bench/checker_test.cpp
+++ b/src/bench/checker_test.cpp
@@ -50,14 +50,17 @@
         answer(time + 10ms, verdict::done).reached = primary.entries.back().at;
     }
     /// A read of 10 ms with an accepted age.
-    auto read(duration time, const std::string& row, const std::string& value, std::optional<duration> max_age)
+    auto read(duration time, const std::string& row, const std::string& value,
+              std::optional<duration> max_age)
         ->answer_received& {
         send(time, "read" + std::to_string(attempts), row, access_mode::read).max_age = max_age;
         auto& received = answer(time + 10ms, verdict::done);
         received.rows.rows = {{value}};
         return received;
     }
-    auto in_session()->void { std::get<request_sent>(history[history.size() - 2]).session = "s"; }
+    auto in_session()->void {
+        std::get<request_sent>(history[history.size() - 2]).session = "s";
+    }
 
     auto checked()->check_report {
         history.emplace_back(primary);
--- a/src/bench/cluster.sh
+++ b/src/bench/cluster.sh
@@ -4,7 +4,7 @@
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 source "$here/../../testsuite/lib.sh"
 
-: "${profile:=karttapaja}" "${instances:=9}" "${cells:=1}" "${databases:=3}"
+: "${profile:=karttapaja}" "${instances:=9}" "${extra_rules:=}" "${databases:=3}"
 : "${slots:=5}" "${connections:=35}" "${connect_ms:=12}" "${lag_ms:=20}" "${statement_us:=400}"
 : "${read_policy:=evidence}" "${queue_policy:=fair}" "${limit_policy:=granted}" "${connection_mode:=holder}"
 : "${max_age:=5s}"
@@ -16,7 +16,7 @@
 
 # One database, five routes for it, and a limit for each client account.
 bench_rules() {
-    local n account rate burst
+    local n account rate burst cells=$(((instances + 8) / 9))
     for n in $(seq "$databases"); do
         echo "database orders-$n cell=c$(((n - 1) % cells + 1)) members=${members_of[orders-$n]} slots=$slots connections=$connections  # Bench: database under load"
         echo "route catalogue-$n database=orders-$n mode=read max-age=$max_age  # Web team: pages may be slightly old"
@@ -28,7 +28,8 @@
     while read -r account rate burst; do
         echo "limit $account rate=$rate burst=$burst  # Sales: contract of $account"
     done < <(accounts)
-    echo "limit ticker rate=2000 burst=500  # Bench: freshness marker"
+    echo "limit ticker rate=50000 burst=50000  # Bench: freshness marker"
+    printf '%s' "$extra_rules"
 }
 
 write_cluster_file() {
@@ -62,6 +63,15 @@
     done
 }
 
+# Seed addresses of the first COUNT cells, whose instances run already.
+other_cells() {
+    local cell sep=""
+    for cell in $(seq "$1"); do
+        printf '%s"c%s": ["%s"]' "$sep" "$cell" "${peer_of[i$(((cell - 1) * 9 + 1))]}"
+        sep=", "
+    done
+}
+
 start_cluster() {
     local n account
     start_store
@@ -72,7 +82,12 @@
     EXTRA_SETTINGS=", \"read_policy\": \"$read_policy\", \"queue_policy\": \"$queue_policy\",
         \"limit_policy\": \"$limit_policy\", \"connection_mode\": \"$connection_mode\",
         \"limits\": {\"connections\": 12000}"
-    for n in $(seq "$instances"); do start_instance "i$n" "d$(((n - 1) % 3 + 1))"; done
+    local base_settings=$EXTRA_SETTINGS
+    for n in $(seq "$instances"); do
+        CELL=c$(((n - 1) / 9 + 1))
+        EXTRA_SETTINGS="$base_settings, \"other_cells\": {$(other_cells $(((n - 1) / 9)))}"
+        start_instance "i$n" "d$(((n - 1) % 3 + 1))"
+    done
     wait_for 20 apply_rules i1 "$(bench_rules)" || die "rules were not accepted: ${result:-}"
     : >"$work/keys"
     for account in $(accounts | cut -d' ' -f1) ticker; do
--- a/src/bench/limit_check.cpp
+++ b/src/bench/limit_check.cpp
@@ -128,11 +128,10 @@
         if (value + tokens_before <= burst + rounding) {
             continue;
         }
-        const auto count = std::count_if(entered.begin(), entered.end(), [&, last = end](auto n) {
-            return ends[n] <= ends[last];
-        });
-        found.push_back({it.from, ends[end], static_cast<std::size_t>(count),
-                         burst - spare[end] - tokens_before});
+        const auto count = std::count_if(entered.begin(), entered.end(),
+                                         [&, last = end](auto n) { return ends[n] <= ends[last]; });
+        found.push_back(
+            {it.from, ends[end], static_cast<std::size_t>(count), burst - spare[end] - tokens_before});
         for (const auto n : std::exchange(entered, {})) {
             excess.add(n, -1);
         }
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -28,7 +28,7 @@
 
 auto make_parser() -> cxxopts::Options {
     auto parser = cxxopts::Options{"citronlug-bench", "Load and experiment tool for citronlug on loopback"};
-    parser.add_options()("mode", "load, prepare, overhead, throughput or usage",
+    parser.add_options()("mode", "load, prepare, overhead, throughput, idle or usage",
                          cxxopts::value<std::string>()->default_value("load"))(
         "profile", "profile file (JSON)", cxxopts::value<std::string>())(
         "cluster", "file that names the running processes (JSON)", cxxopts::value<std::string>())(
@@ -124,6 +124,16 @@
     return found.failures == 0 ? 0 : exit_failed;
 }
 
+auto run_idle_mode(const cxxopts::ParseResult& args, const cluster& fleet) -> int {
+    const auto wanted = args["concurrency"].as<std::size_t>();
+    const auto found = measure_idle_connections(fleet, wanted, to_duration(args["seconds"].as<double>()));
+    const auto per_connection = static_cast<double>(found.bytes_after - found.bytes_before) /
+                                static_cast<double>(std::max<std::size_t>(found.opened, 1));
+    fmt::print("{} idle connections: {:.1f} KB each, {:.2f}% of a core in all\n", found.opened,
+               per_connection / 1000, found.core_share * 100);
+    return found.opened == wanted ? 0 : exit_failed;
+}
+
 /// Processor share and memory of each instance over the given time.
 auto run_usage_mode(const cxxopts::ParseResult& args, const cluster& fleet) -> int {
     const auto seconds = args["seconds"].as<double>();
@@ -159,6 +169,9 @@
     if (mode == "throughput") {
         return run_throughput_mode(args, targets);
     }
+    if (mode == "idle") {
+        return run_idle_mode(args, targets);
+    }
     if (mode == "usage") {
         return run_usage_mode(args, targets);
     }
--- a/src/bench/overhead.cpp
+++ b/src/bench/overhead.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -25,8 +27,8 @@
 constexpr const char* read_sql = "SELECT value FROM catalogue WHERE id = 'ticker'";
 
 auto headers_for(const cluster& fleet) -> std::vector<std::string> {
-    const auto& [account, key] = *fleet.keys.begin();
-    return {"Content-Type: application/json", "Authorization: Bearer " + key};
+    // The freshness marker's account has a rate that does not limit these measurements.
+    return {"Content-Type: application/json", "Authorization: Bearer " + fleet.keys.at(account_id{"ticker"})};
 }
 
 auto read_body(std::uint64_t n) -> std::string {
@@ -116,6 +118,38 @@
     return out;
 }
 
+auto measure_idle_connections(const cluster& fleet, std::size_t count, duration length) -> idle_result {
+    const auto& target = fleet.instances[0];
+    const auto port = std::stoi(target.caller_url.substr(target.caller_url.rfind(':') + 1));
+    auto address = sockaddr_in{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto out = idle_result{};
+    out.bytes_before = resident_bytes(target.pid);
+    auto open_sockets = std::vector<int>{};
+    for (std::size_t n = 0; n < count; ++n) {
+        const auto handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (handle < 0) {
+            break;
+        }
+        open_sockets.push_back(handle);
+        if (connect(handle, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
+            ++out.opened;
+        }
+    }
+    std::this_thread::sleep_for(1s);
+    const auto used_before = processor_time(target.pid);
+    std::this_thread::sleep_for(length);
+    out.core_share = static_cast<double>((processor_time(target.pid) - used_before).count()) /
+                     static_cast<double>(length.count());
+    out.bytes_after = resident_bytes(target.pid);
+    for (const auto handle : open_sockets) {
+        close(handle);
+    }
+    return out;
+}
+
 auto processor_time(int pid) -> duration {
     auto file = std::ifstream{fmt::format("/proc/{}/stat", pid)};
     auto text = std::string{};
--- a/src/bench/overhead.h
+++ b/src/bench/overhead.h
@@ -31,6 +31,17 @@
 [[nodiscard]] auto measure_throughput(const cluster& fleet, std::size_t concurrency, duration length)
     -> throughput_result;
 
+struct idle_result {
+    std::size_t opened = 0;
+    std::uint64_t bytes_before = 0; ///< resident memory of the instance
+    std::uint64_t bytes_after = 0;
+    double core_share = 0; ///< processor time of the instance per second while they are idle
+};
+
+/// Opens connections to the first instance and leaves them idle for `length`.
+[[nodiscard]] auto measure_idle_connections(const cluster& fleet, std::size_t count, duration length)
+    -> idle_result;
+
 /// Processor time that a process has used since its start; zero if it is gone.
 [[nodiscard]] auto processor_time(int pid) -> duration;
 /// Resident memory of a process in bytes; zero if it is gone.
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -88,7 +88,7 @@
     fi
     hash=$(printf %s "$operator_token" | sha256sum | cut -d' ' -f1)
     cat >"$work/$id.json" <<JSON
-{"instance": "$id", "cell": "c1", "region": "north", "failure_domain": "$domain",
+{"instance": "$id", "cell": "${CELL:-c1}", "region": "north", "failure_domain": "$domain",
  "caller_address": "${caller_of[$id]}", "peer_address": "${peer_of[$id]}", "admin_address": "${admin_of[$id]}",
  "store_address": "127.0.0.1:$store_port", "peer_secret": "peer-secret-for-tests-only-0123456789",
  "admin_tokens": [{"name": "tests", "sha256": "$hash"}]${EXTRA_SETTINGS:-}}
@@ -106,7 +106,9 @@
 
 admin() {
     local id=$1 method=$2 path=$3 body=${4:-}
-    curl -sS -m 8 -X "$method" -H "Authorization: Bearer $operator_token" ${body:+--data-binary "$body"} \
+    # The body goes through a file, since the system bounds the length of an argument.
+    printf '%s' "$body" >"$work/admin-body"
+    curl -sS -m 8 -X "$method" -H "Authorization: Bearer $operator_token" ${body:+--data-binary "@$work/admin-body"} \
         "http://${admin_of[$id]}/admin/v1$path"
 }
 
