--- a/src/citronlugd/control_plane.cpp
+++ b/src/citronlugd/control_plane.cpp
@@ -1,6 +1,4 @@
-#include "control_plane.h"
-
-#include <QTimer>
+#include "control_parts.h"
 
 #include <algorithm>
 
@@ -15,8 +13,9 @@
 constexpr auto listing_interval = 3s;
 /// A judgement of the timer is used no longer than this, so that a paused process does not act on an old one.
 constexpr auto judgement_life = 300ms;
-constexpr auto watch_wait = 20s;
 constexpr auto standby_interval = 500ms;
+/// Shortest time between two questions for a role of another cell.
+constexpr auto remote_question_interval = 100ms;
 
 auto since_epoch(time_point time) -> std::int64_t {
     return time.time_since_epoch().count();
@@ -30,9 +29,22 @@
     return hash;
 }
 
+auto role_event(const char* kind, const role_id& role, epoch_number epoch) -> timeline_event {
+    auto event = timeline_event{};
+    event.kind = kind;
+    event.detail = fmt::format("{} {} epoch {}", name_of(role.kind), role.name, epoch);
+    if (role.kind == role_kind::database) {
+        event.database = database_id{role.name};
+    } else {
+        event.account = account_id{role.name};
+    }
+    return event;
+}
+
 auto is_answer(const peer_message& message) -> bool {
-    return std::holds_alternative<heartbeat_answer>(message) || std::holds_alternative<promise_answer>(message) ||
-           std::holds_alternative<table_answer>(message) || std::holds_alternative<record_answer>(message);
+    return std::holds_alternative<heartbeat_answer>(message) ||
+           std::holds_alternative<promise_answer>(message) || std::holds_alternative<table_answer>(message) ||
+           std::holds_alternative<record_answer>(message);
 }
 
 } // namespace
@@ -53,35 +65,6 @@
     return *std::next(cells.begin(), static_cast<std::ptrdiff_t>(n));
 }
 
-struct control_plane::parts {
-    parts(const process_settings& settings, incarnation run)
-        : self{settings.instance, run, settings.peer_address, settings.admin_address, settings.domain}
-        , node{settings.cell, self, settings.lease, run, clock_now()}
-        , spread{settings.cell, settings.instance, run}
-        , store{settings.store_address, settings.instance} {}
-
-    cell_member self;
-    cell_node node;
-    config_spread spread;
-    store_client store;
-    QTimer timer;
-    std::shared_ptr<const config_state> config;
-    std::map<account_id, accountant> accountants;
-    std::map<role_id, epoch_number> held;
-    std::set<role_id> roles; ///< of this cell
-    std::vector<listed_instance> listed;
-    std::uint64_t seen_record = 0;
-    std::size_t seen_live = 0;
-    time_point next_listing;
-    time_point next_standby;
-    bool watching = false;
-    bool serving = false;
-    instance_id reply_to;              ///< sender of the message under work
-    std::vector<peer_message> replies; ///< answers to it
-    bool leaving = false;
-    bool dirty = true; ///< the view must be published
-};
-
 control_plane::control_plane(const process_settings& settings, incarnation run, peer_rpc*& peers,
                              std::vector<std::unique_ptr<holder_shard>>& shards, event_sink events,
                              std::function<hybrid_time()> stamp)
@@ -185,10 +168,11 @@
             after_event();
         });
     } else if (const auto* put = std::get_if<store_put>(&action)) {
-        it.store.put(put->key, put->value, put->expected_version, [this, call = put->call](store_reply reply) {
-            parts_->node.on_store_reply(clock_now(), call, std::move(reply));
-            after_event();
-        });
+        it.store.put(put->key, put->value, put->expected_version,
+                     [this, call = put->call](store_reply reply) {
+                         parts_->node.on_store_reply(clock_now(), call, std::move(reply));
+                         after_event();
+                     });
     } else if (const auto* send = std::get_if<send_peer>(&action)) {
         if (send->to == it.reply_to && is_answer(send->message)) {
             it.replies.push_back(send->message);
@@ -200,7 +184,7 @@
     } else if (const auto* lost = std::get_if<role_lost>(&action)) {
         role_changed(*lost);
     } else if (const auto* event = std::get_if<cell_event>(&action)) {
-        events_("", event->kind, event->detail);
+        events_({.kind = event->kind, .detail = event->detail});
     }
 }
 
@@ -238,14 +222,14 @@
     auto& it = *parts_;
     it.held[role.role] = role.epoch;
     it.dirty = true;
-    events_(role.role.name, "role-gained",
-            fmt::format("{} {} epoch {}", name_of(role.role.kind), role.role.name, role.epoch));
+    events_(role_event("role-gained", role.role, role.epoch));
     if (role.role.kind == role_kind::account) {
         const auto account = account_id{role.role.name};
-        const auto& limits = it.config->config.rules.limits;
-        const auto limit = limits.find(account);
-        it.accountants.insert_or_assign(
-            account, accountant{limit == limits.end() ? rate_limit{} : limit->second.limit, clock_now()});
+        auto limit = rate_limit{};
+        if (it.config && it.config->config.rules.limits.contains(account)) {
+            limit = it.config->config.rules.limits.at(account).limit;
+        }
+        it.accountants.insert_or_assign(account, accountant{limit, clock_now()});
         return;
     }
     const auto database = database_id{role.role.name};
@@ -258,8 +242,7 @@
     auto& it = *parts_;
     it.held.erase(role.role);
     it.dirty = true;
-    events_(role.role.name, "role-lost",
-            fmt::format("{} {} epoch {}", name_of(role.role.kind), role.role.name, role.epoch));
+    events_(role_event("role-lost", role.role, role.epoch));
     if (role.role.kind == role_kind::account) {
         it.accountants.erase(account_id{role.role.name});
         return;
@@ -268,56 +251,6 @@
     shard_of(database).release(database);
 }
 
-auto control_plane::take_config(configuration config) -> bool {
-    auto& it = *parts_;
-    if (!it.spread.on_content(config.version)) {
-        return false;
-    }
-    auto state = std::make_shared<config_state>();
-    state->text = to_json(config);
-    state->keys = key_ring{config.keys};
-    state->config = std::move(config);
-    const auto before = it.config;
-    it.config = state;
-    it.dirty = true;
-    it.node.set_config_version(state->config.version);
-    if (before) {
-        for (const auto& key : before->config.keys) {
-            if (before->keys.is_valid(key.id) && !state->keys.is_valid(key.id)) {
-                for (auto& shard : shards_) {
-                    shard->revoke(key.id);
-                }
-            }
-        }
-    }
-    auto roles = std::vector<role_id>{};
-    for (const auto& [name, rule] : state->config.rules.databases) {
-        if (rule.cell == settings_.cell) {
-            roles.push_back({role_kind::database, name.value});
-        }
-    }
-    for (const auto& [name, rule] : state->config.rules.limits) {
-        if (cell_of_account(name, state->config.rules) == settings_.cell) {
-            roles.push_back({role_kind::account, name.value});
-        }
-        const auto found = it.accountants.find(name);
-        if (found != it.accountants.end()) {
-            found->second.set_limit(clock_now(), rule.limit);
-        }
-    }
-    it.roles = std::set<role_id>{roles.begin(), roles.end()};
-    it.node.set_roles(clock_now(), std::move(roles));
-    for (const auto& [role, epoch] : it.held) {
-        if (role.kind == role_kind::database) {
-            if (const auto settings = settings_of(database_id{role.name})) {
-                shard_of(settings->database).hold(*settings, epoch);
-            }
-        }
-    }
-    events_("", "configuration", fmt::format("version {} is in force", state->config.version));
-    return true;
-}
-
 auto control_plane::apply_roles() -> void {
     auto& it = *parts_;
     auto standby = std::vector<std::vector<database_settings>>(shards_.size());
@@ -333,94 +266,9 @@
     }
 }
 
-auto control_plane::on_stored_config(time_point asked_at, const store_reply& reply) -> void {
-    auto& it = *parts_;
-    if (reply.status == store_status::not_found) {
-        it.spread.on_store_read(asked_at, 0);
-    } else if (reply.status == store_status::ok) {
-        auto parsed = parse_configuration(reply.value, reply.version);
-        if (auto* config = std::get_if<configuration>(&parsed)) {
-            take_config(std::move(*config));
-            it.spread.on_store_read(asked_at, reply.version);
-        } else {
-            events_("", "configuration-unreadable", std::get<failure>(parsed).message);
-        }
-    }
-    after_event();
-}
-
-auto control_plane::address_of(const instance_id& instance) const -> std::optional<std::string> {
-    const auto& members = parts_->node.record().members;
-    const auto member = members.find(instance.value);
-    if (member != members.end()) {
-        return member->second.peer_address;
-    }
-    for (const auto& listed : parts_->listed) {
-        if (listed.instance == instance) {
-            return listed.peer_address;
-        }
-    }
-    return std::nullopt;
-}
-
-auto control_plane::spread_config() -> void {
-    auto& it = *parts_;
-    const auto now = clock_now();
-    auto read_store = [this, now] {
-        parts_->store.get(config_key, [this, now](const store_reply& reply) { on_stored_config(now, reply); });
-    };
-    if (it.spread.poll_due(now, it.node.has_majority(now))) {
-        read_store();
-    }
-    if (!it.watching && it.spread.is_relay(it.node.live_members(now))) {
-        it.watching = true;
-        it.store.watch(config_key, it.spread.held(), watch_wait, [this, now](const store_reply& reply) {
-            if (reply.status == store_status::ok) {
-                on_stored_config(now, reply);
-            }
-            // A store that does not answer, or has no object to watch, is asked again after a pause.
-            const auto asked_long = clock_now() - now > watch_wait / 2;
-            if (reply.status == store_status::ok || asked_long) {
-                parts_->watching = false;
-            } else {
-                QTimer::singleShot(500, &parts_->timer, [this] { parts_->watching = false; });
-            }
-        });
-    }
-    if (const auto source = it.spread.fetch(now)) {
-        const auto address = source->peer ? address_of(*source->peer) : std::nullopt;
-        if (!address) {
-            read_store();
-        } else {
-            peers_->fetch_config(*address, it.spread.held(), [this](std::optional<config_reply> reply) {
-                thread_.post([this, reply = std::move(reply)] {
-                    if (!parts_ || !reply || reply->version == 0) {
-                        return;
-                    }
-                    auto parsed = parse_configuration(reply->text, reply->version);
-                    if (auto* config = std::get_if<configuration>(&parsed)) {
-                        take_config(std::move(*config));
-                        after_event();
-                    }
-                });
-            });
-        }
-    }
-    if (const auto other = it.spread.exchange_with(now, it.listed)) {
-        peers_->config_version(other->peer_address,
-                               [this, from = other->instance](std::optional<std::uint64_t> version) {
-                                   thread_.post([this, from, version] {
-                                       if (parts_ && version) {
-                                           parts_->spread.on_peer_version(clock_now(), from, *version);
-                                       }
-                                   });
-                               });
-    }
-}
-
 auto control_plane::refresh_listing() -> void {
     auto& it = *parts_;
-    const auto self = listed_instance{settings_.instance, settings_.cell,    settings_.peer_address,
+    const auto self = listed_instance{settings_.instance,      settings_.cell,   settings_.peer_address,
                                       settings_.admin_address, settings_.domain, it.leaving};
     it.store.announce(self, [](bool) {});
     it.store.instances([this](std::optional<std::vector<listed_instance>> list) {
@@ -432,6 +280,59 @@
     });
 }
 
+auto control_plane::look_up(const role_id& role) -> void {
+    thread_.post([this, role] {
+        const auto now = clock_now();
+        if (!parts_ || !parts_->config || parts_->roles.contains(role)) {
+            return;
+        }
+        auto& it = *parts_;
+        auto& known = it.elsewhere[role];
+        if (known.asked != time_point{} && now - known.asked < remote_question_interval) {
+            return;
+        }
+        known.asked = now;
+        const auto& rules = it.config->config.rules;
+        auto cell = cell_of_account(account_id{role.name}, rules);
+        if (role.kind == role_kind::database) {
+            const auto rule = rules.databases.find(database_id{role.name});
+            cell = rule == rules.databases.end() ? std::nullopt : std::optional{rule->second.cell};
+        }
+        if (!cell || *cell == settings_.cell) {
+            it.elsewhere.erase(role);
+            return;
+        }
+        auto addresses = std::vector<std::string>{};
+        for (const auto& listed : it.listed) {
+            if (listed.cell == *cell && !listed.leaving) {
+                addresses.push_back(listed.peer_address);
+            }
+        }
+        const auto seeds = settings_.other_cells.find(*cell);
+        if (addresses.empty() && seeds != settings_.other_cells.end()) {
+            addresses = seeds->second;
+        }
+        if (addresses.empty()) {
+            return;
+        }
+        peers_->locate(addresses[it.random() % addresses.size()], role,
+                       [this, role](std::optional<role_location> found) {
+                           thread_.post([this, role, found = std::move(found)] {
+                               if (!parts_ || !found) {
+                                   return;
+                               }
+                               auto& known = parts_->elsewhere[role].location;
+                               // An instance that lags behind must not bring back an older holder.
+                               if (!known || known->epoch < found->epoch) {
+                                   known = found;
+                                   parts_->dirty = true;
+                                   after_event();
+                               }
+                           });
+                       });
+    });
+}
+
 auto control_plane::publish() -> void {
     auto& it = *parts_;
     auto next = std::make_shared<control_view>();
@@ -441,6 +342,11 @@
             next->roles.emplace(role, std::move(*location));
         }
     }
+    for (const auto& [role, found] : it.elsewhere) {
+        if (found.location) {
+            next->roles.emplace(role, *found.location);
+        }
+    }
     next->live_instances = static_cast<std::uint32_t>(std::max<std::size_t>(1, it.seen_live));
     next->serving = it.serving && it.config != nullptr;
     next->leaving = it.leaving;
@@ -451,8 +357,8 @@
     on_change_();
 }
 
-auto control_plane::on_peer_message(peer_message message, std::function<void(std::vector<peer_message>)> reply)
-    -> void {
+auto control_plane::on_peer_message(peer_message message,
+                                    std::function<void(std::vector<peer_message>)> reply) -> void {
     thread_.post([this, message = std::move(message), reply = std::move(reply)] {
         if (parts_) {
             parts_->reply_to = std::visit([](const auto& it) { return it.from; }, message);
@@ -473,7 +379,8 @@
                                std::function<void(grant_reply)> done) -> void {
     thread_.post([this, account, wanted, done = std::move(done)] {
         const auto now = clock_now();
-        const auto found = parts_ ? parts_->accountants.find(account) : decltype(parts_->accountants.find(account)){};
+        const auto found =
+            parts_ ? parts_->accountants.find(account) : decltype(parts_->accountants.find(account)){};
         if (!parts_ || found == parts_->accountants.end() || parts_->node.authority_until() <= now) {
             done(grant_reply{});
             return;
@@ -541,47 +448,4 @@
     });
 }
 
-auto control_plane::read_config(std::function<void(result<configuration>)> done) -> void {
-    thread_.post([this, done = std::move(done)] {
-        parts_->store.get(config_key, [this, done, asked = clock_now()](const store_reply& reply) {
-            if (reply.status == store_status::not_found) {
-                done(initial_configuration());
-                return;
-            }
-            if (reply.status != store_status::ok) {
-                done(failure{failure_code::store_unavailable, "the platform store does not answer", 1s});
-                return;
-            }
-            on_stored_config(asked, reply);
-            done(parse_configuration(reply.value, reply.version));
-        });
-    });
-}
-
-auto control_plane::write_config(const configuration& config, std::uint64_t expected_version,
-                                 std::function<void(result<std::uint64_t>)> done) -> void {
-    thread_.post([this, config, expected_version, done = std::move(done)] {
-        parts_->store.put(config_key, to_json(config), expected_version, [this, config, done](const store_reply& reply) {
-            switch (reply.status) {
-            case store_status::ok: {
-                auto written = config;
-                written.version = reply.version;
-                take_config(std::move(written));
-                after_event();
-                done(reply.version);
-                return;
-            }
-            case store_status::conflict:
-            case store_status::not_found:
-                done(failure{failure_code::conflict, "the configuration was changed in the meantime", {}});
-                return;
-            case store_status::unavailable:
-                done(failure{failure_code::store_unavailable,
-                             "the platform store did not answer; the change may have taken effect", 1s});
-                return;
-            }
-        });
-    });
-}
-
 } // namespace citronlug
--- a/src/libcitronlug/holder_impl.h
+++ b/src/libcitronlug/holder_impl.h
@@ -126,6 +126,8 @@
 private:
     // database_holder.cpp
     auto apply_settings(time_point now) -> void;
+    /// A leaving member gets no connections unless it is primary.
+    auto choose_connections() -> void;
     auto expire(time_point now) -> void;
     auto expire_one(time_point now, work_item& work) -> void;
     [[nodiscard]] auto has_authority(time_point now) const -> bool { return now < authority_; }
@@ -170,6 +172,7 @@
     auto acknowledge(time_point now, work_item& work, answer value) -> void;
     [[nodiscard]] auto is_confirmed(const work_item& work) const -> bool;
     auto check_confirmations(time_point now) -> void;
+    auto probe_for_confirmation(time_point now, duration spacing) -> void;
     auto insert_request(const work_item& work) const -> statement;
 
     // holder_transactions.cpp
