Test that late spending never exceeds a limit

The random schedules alone did not notice an accountant that forgets grants alive or starts at once after a hand-over; the demand in the schedules is now switched, and a property spends as late as it may.

--- a/src/libcitronlug/accountant_test.cpp
+++ b/src/libcitronlug/accountant_test.cpp
@@ -64,6 +64,39 @@
     });
 }
 
+// Guards against a use above rate * T + burst by entries that spend as late as they may, across hand-overs
+// (the next accountant starts at once) and takeovers (it starts when all grants have ended).
+TEST(an_accountant, late_spending_never_exceeds_the_limit) {
+    check_property("use in any window", [] {
+        const auto limit = rate_limit{*rc::gen::inRange(10, 200) * 1.0, *rc::gen::inRange(2, 60) * 1.0};
+        auto it = accountant{limit, at(0ms)};
+        auto used = reference_bucket{{limit.rate, limit.burst + 1e-6}};
+        auto pool = std::deque<std::pair<time_point, std::uint32_t>>{}; // end of life, tokens
+        auto now = at(2s);
+        for (auto n = 0; n < 200; ++n) {
+            now += *rc::gen::inRange(0, 60) * 1ms;
+            std::erase_if(pool, [&](const auto& grant) { return grant.first <= now; });
+            const auto step = *rc::gen::inRange(0, 20);
+            if (step < 2) {
+                it = accountant{limit, now};
+            } else if (step == 2) {
+                now += grant_life_for(limit);
+                pool.clear();
+                it = accountant{limit, now, true};
+            } else if (step < 18) {
+                const auto tokens = it.take(now, static_cast<std::uint32_t>(*rc::gen::inRange(1, 100)));
+                pool.emplace_back(now + grant_life_for(limit), tokens);
+            } else {
+                for (; !pool.empty(); pool.pop_front()) {
+                    for (auto left = pool.front().second; left > 0; --left) {
+                        RC_ASSERT(used.take(now) >= 0);
+                    }
+                }
+            }
+        }
+    });
+}
+
 TEST_GROUP_BASE(the_granted_limit, citronlug::testing::story) {
     std::unique_ptr<limit_policy> policy = plugin_registry<limit_policy>::make("granted");
 
--- a/src/libcitronlug/cell_cost_test.cpp
+++ b/src/libcitronlug/cell_cost_test.cpp
@@ -7,12 +7,12 @@
 using namespace citronlug;
 using namespace citronlug::testing;
 
-// Cost of the cell nodes, printed for docs/leases.md: messages, bytes and processor time of the quiet state and
-// store calls by phase.
+// Cost of the cell nodes, printed for docs/leases.md: messages, bytes and processor time of the quiet state
+// and store calls by phase.
 TEST_GROUP_BASE(cell_cost, citronlug::testing::story) {
     static constexpr auto message_bytes = 120 + 66; ///< about the encoded size, with TCP and IP headers
 
-    static auto make(int members, std::uint64_t seed) -> std::unique_ptr<cell_simulation> {
+    static auto make(int members, std::uint64_t seed)->std::unique_ptr<cell_simulation> {
         auto cell = std::make_unique<cell_simulation>(members, seed);
         for (auto n = 0; n < 2 * members; ++n) {
             cell->roles.push_back(database_role(fmt::format("db{}", n)));
@@ -21,7 +21,7 @@
         cell->run(45s);
         return cell;
     }
-    static auto store_calls(const cell_simulation& cell) -> int {
+    static auto store_calls(const cell_simulation& cell)->int {
         auto sum = 0;
         for (const auto& it : cell.nodes) {
             sum += it->store_calls;
@@ -32,7 +32,8 @@
 
 // Guards against heartbeats whose number grows with the fleet, and against store calls of a healthy cell.
 TEST(cell_cost, quiet_cells) {
-    for (const auto& [cells, members] : {std::pair{1, 3}, std::pair{1, 9}, std::pair{3, 9}, std::pair{9, 9}}) {
+    for (const auto& [cells, members] :
+         {std::pair{1, 3}, std::pair{1, 9}, std::pair{3, 9}, std::pair{9, 9}}) {
         auto fleet = std::vector<std::unique_ptr<cell_simulation>>{};
         for (auto n = 0; n < cells; ++n) {
             fleet.push_back(make(members, static_cast<std::uint64_t>(n) + 1));
@@ -51,9 +52,10 @@
         const auto cpu_ms = 1000.0 * static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
         const auto instances = cells * members;
         const auto per_node = static_cast<double>(messages) / instances / (span / 1s);
-        fmt::print("{:2} instances in cells of {}: {:.1f} messages/s sent by a node, {:.0f} bytes/s, {:.3f} ms of "
-                   "processor time per simulated second and node, {} store calls\n",
-                   instances, members, per_node, per_node * message_bytes, cpu_ms / instances / (span / 1s), calls);
+        fmt::print(
+            "{:2} instances in cells of {}: {:.1f} messages/s sent by a node, {:.0f} bytes/s, {:.3f} ms of "
+            "processor time per simulated second and node, {} store calls\n",
+            instances, members, per_node, per_node * message_bytes, cpu_ms / instances / (span / 1s), calls);
         CHECK(per_node <= 2 * 2.5 * (members - 1) + 0.1);
         CHECK_EQUAL(0, calls);
     }
@@ -67,7 +69,8 @@
         const auto version = cell->stored.version;
         cell->run(span);
         const auto calls = store_calls(*cell) - before;
-        fmt::print("{:<36} {:3} store calls ({} writes) in {} s\n", name, calls, cell->stored.version - version, span / 1s);
+        fmt::print("{:<36} {:3} store calls ({} writes) in {} s\n", name, calls,
+                   cell->stored.version - version, span / 1s);
         return calls;
     };
     cell->run(45s);
--- a/src/libcitronlug/cell_schedules_test.cpp
+++ b/src/libcitronlug/cell_schedules_test.cpp
@@ -156,6 +156,14 @@
     std::uint64_t version_ = 1;
 };
 
+/// Switches the demand of each node at random, so that grants are left unspent and spent late.
+auto switch_demand(cell_simulation& cell, account_traffic& traffic) -> void {
+    for (auto& it : traffic.demand) {
+        it = cell.below(2) == 0 ? 0.0 : 90.0;
+    }
+    cell.after(150ms, [&cell, &traffic] { switch_demand(cell, traffic); });
+}
+
 /// Runs one schedule; returns what went wrong.
 auto run_schedule(std::uint64_t seed) -> std::string {
     auto choice = std::mt19937_64{seed};
@@ -167,7 +175,7 @@
     auto config = config_traffic{cell};
     // A clock that is 5% fast earns 5% more in true time.
     auto traffic = account_traffic{cell, "granted", account_role("x"), {50, 20}, 0.05};
-    traffic.demand.assign(cell.nodes.size(), 15.0);
+    switch_demand(cell, traffic);
     cell.run(choice() % 4 == 0 ? 500ms : 6s); // some faults hit the start
     auto trace = std::string{};
     const auto faults = 2 + choice() % 4;
