--- a/src/libcitronlug/holder_failover.cpp
+++ b/src/libcitronlug/holder_failover.cpp
@@ -185,8 +185,8 @@
     promotion_.reset();
     if (!success) {
         event("promotion-failed", fmt::format("member={} term={}", member.value, term));
-        if (term > 0) {
-            view_.clear_fence(expected + 1, member); // it answered, so it will not take the term later
+        if (term > 0 && term <= expected) {
+            view_.clear_fence(expected + 1, member); // it refused, so it will not take the term later
         }
         probe_all(now);
         return;
@@ -225,6 +225,7 @@
     }
     event("primary-changed", fmt::format("old={} new={} term={}", old.value_or(member_id{}).value,
                                          id.value_or(member_id{}).value, served_term_));
+    choose_connections();
     if (old) {
         abandon_member(now, *old);
         for (const auto number : std::vector<std::uint64_t>(confirming_.begin(), confirming_.end())) {
