--- a/src/citronlugd/http_server_test.cpp
+++ b/src/citronlugd/http_server_test.cpp
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,14 +26,17 @@
 /// Blocking client on a plain socket, so that it can break the protocol.
 class raw_client {
 public:
-    explicit raw_client(std::uint16_t port) : socket_{::socket(AF_INET, SOCK_STREAM, 0)} {
+    explicit raw_client(std::uint16_t port)
+        : socket_{::socket(AF_INET, SOCK_STREAM, 0)} {
         auto address = sockaddr_in{};
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         connected_ = ::connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
     }
-    raw_client(raw_client&& other) noexcept : socket_{std::exchange(other.socket_, -1)}, connected_{other.connected_} {}
+    raw_client(raw_client&& other) noexcept
+        : socket_{std::exchange(other.socket_, -1)}
+        , connected_{other.connected_} {}
     raw_client(const raw_client&) = delete;
     auto operator=(const raw_client&) -> raw_client& = delete;
     ~raw_client() {
@@ -51,7 +55,8 @@
         const auto end = clock_now() + std::chrono::milliseconds{ms};
         while (found.find(until) == std::string::npos) {
             auto it = pollfd{socket_, POLLIN, 0};
-            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - clock_now()).count();
+            const auto left =
+                std::chrono::duration_cast<std::chrono::milliseconds>(end - clock_now()).count();
             if (left <= 0 || ::poll(&it, 1, static_cast<int>(left)) <= 0) {
                 break;
             }
@@ -90,7 +95,7 @@
     std::uint16_t port = 0;
     std::vector<std::shared_ptr<http_exchange>> held; ///< of requests to /hold
 
-    auto start() -> void {
+    auto start()->void {
         application();
         thread = std::make_unique<event_thread>("server");
         thread->run([this] {
@@ -100,7 +105,8 @@
                     if (incoming.path == "/hold") {
                         held.push_back(std::move(exchange));
                     } else {
-                        exchange->reply(200, "size=" + QByteArray::number(incoming.body.size()), "text/plain");
+                        exchange->reply(200, "size=" + QByteArray::number(incoming.body.size()),
+                                        "text/plain");
                     }
                 },
                 [](const QByteArray& authorization) { return authorization == "Bearer good"; });
@@ -108,13 +114,13 @@
         });
     }
 
-    auto connections() -> std::size_t {
+    auto connections()->std::size_t {
         auto n = std::size_t{0};
         thread->run([&] { n = server->connections(); });
         return n;
     }
 
-    auto teardown() -> void override {
+    auto teardown()->void override {
         if (thread) {
             thread->run([this] {
                 held.clear();
@@ -218,6 +224,35 @@
     CHECK(connections() <= 50 + 64);
 }
 
+// Connections that hold no request must cost others no time. Both ends are in this process, so 10,000
+// connections need 20,000 descriptors.
+TEST(bounded_http_server, serves_others_next_to_10000_idle_connections) {
+    auto limit = rlimit{};
+    CHECK(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+    const auto n = std::min<rlim_t>(10'000, (limit.rlim_cur - 500) / 2);
+    start();
+    auto idle = std::vector<raw_client>{};
+    for (auto it = rlim_t{0}; it < n; ++it) {
+        idle.emplace_back(port);
+        CHECK(idle.back().connected());
+    }
+    for (auto end = clock_now() + 20s; connections() < n && clock_now() < end;) {
+        usleep(10'000); // accepting them is no part of the measurement
+    }
+    auto client = raw_client{port};
+    auto slowest = duration{};
+    for (auto it = 0; it < 200; ++it) {
+        const auto before = clock_now();
+        client.send(post("12345"));
+        CHECK(client.read("size=5").find("200") != std::string::npos);
+        slowest = std::max(slowest, clock_now() - before);
+    }
+    CHECK(connections() > n);
+    CHECK(slowest < 500ms);
+}
+
 TEST(bounded_http_server, answers_later_and_survives_a_peer_that_left) {
     start();
     {
