--- a/src/bench/load.cpp
+++ b/src/bench/load.cpp
@@ -33,9 +33,9 @@
 struct session_state {
     std::string row;
     std::string token;
-    std::int64_t acknowledged = 0;
     std::int64_t next_value = 1;
-    bool busy = false; ///< a write is under way, or its outcome is not known
+    int generation = 0; ///< counts the sessions that a change of primary ended
+    bool busy = false;  ///< a write is under way, or its outcome is not known
 };
 
 /// Bucket that tells whether an arrival was within its account's rate.
@@ -62,6 +62,7 @@
     std::string sql;
     std::vector<std::string> parameters;
     session_state* session = nullptr;
+    std::string token; ///< the session's token when the request was sent
     duration give_up{};
 };
 
@@ -92,7 +93,7 @@
             for (std::size_t database = 0; database < fleet.databases.size(); ++database) {
                 for (std::size_t n = 0; n < sessions_per_account; ++n) {
                     sessions_[{it.account, database}].push_back(
-                        session_state{fmt::format("{}-{}", it.account.value, n), "", 0, 1, false});
+                        session_state{fmt::format("{}-{}", it.account.value, n), "", 1, 0, false});
                 }
             }
         }
@@ -123,6 +124,7 @@
 
     auto run() -> load_outcome {
         start_ = wall_now();
+        outcome_.started = time_point{std::chrono::duration_cast<duration>(start_.time_since_epoch())};
         for (const auto& it : plan_.accounts) {
             schedule_arrival(it, duration{});
         }
@@ -207,6 +209,7 @@
             work->record.kind = operation_kind::ticker;
             work->record.account = account_id{std::string{ticker_account}};
             work->record.database = database;
+            work->record.row = "catalogue/ticker";
             work->record.value = ++ticker_values_[database];
             work->route = fmt::format("ticker-{}", database + 1);
             work->sql = "UPDATE catalogue SET value = $1 WHERE id = 'ticker'";
@@ -276,8 +279,7 @@
             work->sql = "SELECT value FROM proofs WHERE id = $1";
             work->parameters = {session->row};
             work->session = session;
-            record.row = session->row;
-            record.must_reach = session->acknowledged;
+            record.row = "proofs/" + session->row;
             break;
         case operation_kind::session_write:
             work->route = "approve-" + suffix;
@@ -285,17 +287,20 @@
             record.value = session->next_value++;
             work->parameters = {std::to_string(*record.value), session->row};
             work->session = session;
-            record.row = session->row;
+            record.row = "proofs/" + session->row;
             session->busy = true;
             break;
         case operation_kind::order:
             work->route = "order-" + suffix;
             work->sql = "INSERT INTO orders (id, account, amount) VALUES ($1, $2, $3)";
             work->parameters = {fmt::format("o{}", ++order_count_), account.account.value, "1"};
+            record.row = "orders/" + work->parameters[0];
+            record.value = 1;
             break;
         default:
             work->route = "catalogue-" + suffix;
             work->sql = "SELECT value FROM catalogue WHERE id = 'ticker'";
+            record.row = "catalogue/ticker";
             break;
         }
         begin(work, at);
@@ -317,9 +322,12 @@
         for (const auto& it : work->parameters) {
             parameters += fmt::format("{}\"{}\"", parameters.empty() ? "" : ",", it);
         }
-        const auto session = work->session != nullptr && !work->session->token.empty()
-                                 ? fmt::format(R"("session":"{}",)", work->session->token)
-                                 : std::string{};
+        if (work->session != nullptr) {
+            work->token = work->session->token;
+            record.session = fmt::format("{}/{}/{}", record.database, work->session->row, work->session->generation);
+        }
+        const auto session =
+            work->token.empty() ? std::string{} : fmt::format(R"("session":"{}",)", work->token);
         const auto deadline_ms = std::max<std::int64_t>(50, (work->give_up - record.sent).count() / 1000);
         auto body = fmt::format(R"({{"request_id":"{}","deadline_ms":{},{}"sql":"{}","parameters":[{}]}})",
                                 record.request_id, deadline_ms, session, work->sql, parameters);
@@ -340,26 +348,37 @@
             value_of<verdict>(body["outcome"].toString().toStdString()).value_or(verdict::unknown);
         record.code = answer.status == 0 ? "transport" : body["code"].toString().toStdString();
         record.from_replica = body["from_replica"].toBool();
+        record.data_age = duration{static_cast<std::int64_t>(body["data_age_ms"].toDouble() * 1000)};
         const auto is_read =
             record.kind == operation_kind::aged_read || record.kind == operation_kind::session_read;
         if (is_read && record.outcome == verdict::done) {
             record.value = body["rows"].toArray()[0].toArray()[0].toString().toLongLong();
         }
-        if (record.outcome == verdict::done && work->session != nullptr) {
-            work->session->token = body["session"].toString().toStdString();
+        if (work->session != nullptr) {
+            update_session(*work, body["session"].toString().toStdString());
         }
         outcome_.records.push_back(record);
         if (retry(work)) {
             return;
         }
         if (record.kind == operation_kind::session_write) {
-            if (record.outcome == verdict::done) {
-                work->session->acknowledged = std::max(work->session->acknowledged, *record.value);
-            }
             work->session->busy = false;
         }
     }
 
+    /// Tokens are opaque, so a read's token replaces the session's only if no other answer came meanwhile;
+    /// a write's token always does, since a session has one write at a time.
+    auto update_session(const operation& work, const std::string& token) -> void {
+        auto& session = *work.session;
+        if (work.record.code == name_of(failure_code::session_lost) && session.token == work.token) {
+            session.token.clear();
+            ++session.generation;
+        } else if (work.record.outcome == verdict::done &&
+                   (work.record.kind == operation_kind::session_write || session.token == work.token)) {
+            session.token = token;
+        }
+    }
+
     /// Sends writes of unknown outcome again with the same request id; reads and refused work are left.
     auto retry(const std::shared_ptr<operation>& work) -> bool {
         const auto& record = work->record;
--- a/src/bench/load.h
+++ b/src/bench/load.h
@@ -30,9 +30,10 @@
     std::string code; ///< failure code; "transport" if no HTTP answer came
     bool within_rate = true;
     bool from_replica = false;
-    std::string row;                        ///< row key of session operations
+    duration data_age{};                    ///< as the answer states it
+    std::string row;                        ///< "table/key" of the row read or written
+    std::string session;                    ///< reads see all writes acknowledged earlier under this name
     std::optional<std::int64_t> value;      ///< written, or read
-    std::optional<std::int64_t> must_reach; ///< acknowledged value that the read must include
 };
 
 /// Multiplies one account's offered load for a while.
@@ -61,6 +62,7 @@
 };
 
 struct load_outcome {
+    time_point started; ///< by the machine's monotonic clock
     std::vector<operation_record> records;
     std::vector<fault_note> faults;
     std::map<account_id, std::vector<duration>> arrivals; ///< for the limit check
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,4 +1,6 @@
+#include "checker.h"
 #include "cluster.h"
+#include "history.h"
 #include "load.h"
 #include "overhead.h"
 #include "profile.h"
@@ -62,6 +64,19 @@
     return exit_failed;
 }
 
+auto print_check(const check_report& checked) -> void {
+    constexpr std::size_t shown = 10;
+    fmt::print("violations: {}", checked.violations.size());
+    for (const auto& [kind, cases] : checked.examined) {
+        fmt::print("; {} {} of {}", name_of(kind), checked.count(kind), cases);
+    }
+    fmt::print("; lost with their primary: {}\n", checked.lost_with_primary);
+    for (std::size_t n = 0; n < std::min(shown, checked.violations.size()); ++n) {
+        const auto& it = checked.violations[n];
+        fmt::print("  {} {} {} {}: {}\n", name_of(it.kind), it.database.value, it.account.value, it.id.value, it.detail);
+    }
+}
+
 auto run_load_mode(const cxxopts::ParseResult& args, const profile& plan, const cluster& fleet) -> int {
     auto options = load_options{};
     options.length = to_duration(args["seconds"].as<double>());
@@ -85,8 +100,16 @@
     const auto outcome = run_load(plan, fleet, options);
     const auto found = measure(outcome, fleet);
     fmt::print("{}", format_table(found, overloading));
-    write_json(args, to_json(found, overloading));
-    return 0;
+    const auto history = collect_history(plan, fleet, outcome);
+    if (!succeeded(history)) {
+        return report_failure(std::get<failure>(history));
+    }
+    const auto checked = check_history(std::get<std::vector<history_record>>(history));
+    print_check(checked);
+    auto json = to_json(found, overloading);
+    json["violations"] = static_cast<qint64>(checked.violations.size());
+    write_json(args, json);
+    return checked.violations.empty() ? 0 : exit_failed;
 }
 
 auto run_overhead_mode(const cxxopts::ParseResult& args, const cluster& fleet) -> int {
