--- a/src/bench/history.cpp
+++ b/src/bench/history.cpp
@@ -68,7 +68,9 @@
 auto drop_before(time_point start, std::vector<history_record>& records) -> void {
     for (auto& it : records) {
         if (auto* log = std::get_if<member_log>(&it)) {
-            const auto early = [start](const log_item& item) { return item.committed < start; };
+            const auto early = [start](const log_item& item) {
+                return item.committed < start;
+            };
             std::erase_if(log->entries, early);
             std::erase_if(log->truncated, early);
         }
--- a/src/bench/load.cpp
+++ b/src/bench/load.cpp
@@ -324,7 +324,8 @@
         }
         if (work->session != nullptr) {
             work->token = work->session->token;
-            record.session = fmt::format("{}/{}/{}", record.database, work->session->row, work->session->generation);
+            record.session =
+                fmt::format("{}/{}/{}", record.database, work->session->row, work->session->generation);
         }
         const auto session =
             work->token.empty() ? std::string{} : fmt::format(R"("session":"{}",)", work->token);
--- a/src/bench/load.h
+++ b/src/bench/load.h
@@ -30,10 +30,10 @@
     std::string code; ///< failure code; "transport" if no HTTP answer came
     bool within_rate = true;
     bool from_replica = false;
-    duration data_age{};                    ///< as the answer states it
-    std::string row;                        ///< "table/key" of the row read or written
-    std::string session;                    ///< reads see all writes acknowledged earlier under this name
-    std::optional<std::int64_t> value;      ///< written, or read
+    duration data_age{};               ///< as the answer states it
+    std::string row;                   ///< "table/key" of the row read or written
+    std::string session;               ///< reads see all writes acknowledged earlier under this name
+    std::optional<std::int64_t> value; ///< written, or read
 };
 
 /// Multiplies one account's offered load for a while.
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -73,7 +73,8 @@
     fmt::print("; lost with their primary: {}\n", checked.lost_with_primary);
     for (std::size_t n = 0; n < std::min(shown, checked.violations.size()); ++n) {
         const auto& it = checked.violations[n];
-        fmt::print("  {} {} {} {}: {}\n", name_of(it.kind), it.database.value, it.account.value, it.id.value, it.detail);
+        fmt::print("  {} {} {} {}: {}\n", name_of(it.kind), it.database.value, it.account.value, it.id.value,
+                   it.detail);
     }
 }
 
