Hold the accountant's role per group of client accounts

Cause: each client account had a role of its own in the cell record, and each change of the record travels whole to every member. With 800 more limit rules the record had 110 KB and a restart of the fleet moved it for minutes. Change: accounts are hashed into 16 groups per cell; the role is per group. Ruled out: sending only differences of the record, which leaves the store's object growing with the accounts. The record no longer depends on the number of accounts.

--- a/src/citronlugd/control_config.cpp
+++ b/src/citronlugd/control_config.cpp
@@ -1,3 +1,4 @@
+#include "account_groups.h"
 #include "control_parts.h"
 
 #include <fmt/format.h>
@@ -39,15 +40,11 @@
             roles.push_back({role_kind::database, name.value});
         }
     }
-    for (const auto& [name, rule] : state->config.rules.limits) {
-        if (cell_of_account(name, state->config.rules) == settings_.cell) {
-            roles.push_back({role_kind::account, name.value});
-        }
-        const auto found = it.accountants.find(name);
-        if (found != it.accountants.end()) {
-            found->second.set_limit(clock_now(), rule.limit);
-        }
+    if (!roles.empty()) {
+        const auto groups = accountant_roles(settings_.cell);
+        roles.insert(roles.end(), groups.begin(), groups.end());
     }
+    open_accounts();
     it.roles = std::set<role_id>{roles.begin(), roles.end()};
     it.node.set_roles(clock_now(), std::move(roles));
     for (const auto& [role, epoch] : it.held) {
--- a/src/citronlugd/control_plane.cpp
+++ b/src/citronlugd/control_plane.cpp
@@ -1,3 +1,4 @@
+#include "account_groups.h"
 #include "control_parts.h"
 
 #include <algorithm>
@@ -21,22 +22,12 @@
     return time.time_since_epoch().count();
 }
 
-auto stable_hash(std::string_view text) -> std::uint64_t {
-    auto hash = std::uint64_t{14695981039346656037U}; // FNV-1a
-    for (const auto c : text) {
-        hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211U;
-    }
-    return hash;
-}
-
 auto role_event(const char* kind, const role_id& role, epoch_number epoch) -> timeline_event {
     auto event = timeline_event{};
     event.kind = kind;
     event.detail = fmt::format("{} {} epoch {}", name_of(role.kind), role.name, epoch);
     if (role.kind == role_kind::database) {
         event.database = database_id{role.name};
-    } else {
-        event.account = account_id{role.name};
     }
     return event;
 }
@@ -53,18 +44,6 @@
     return stable_hash(database.value) % shards;
 }
 
-auto cell_of_account(const account_id& account, const rule_set& rules) -> std::optional<cell_id> {
-    auto cells = std::set<cell_id>{};
-    for (const auto& [name, it] : rules.databases) {
-        cells.insert(it.cell);
-    }
-    if (cells.empty()) {
-        return std::nullopt;
-    }
-    const auto n = stable_hash(account.value) % cells.size();
-    return *std::next(cells.begin(), static_cast<std::ptrdiff_t>(n));
-}
-
 control_plane::control_plane(const process_settings& settings, incarnation run, peer_rpc*& peers,
                              std::vector<std::unique_ptr<holder_shard>>& shards, event_sink events,
                              std::function<hybrid_time()> stamp)
@@ -224,12 +203,8 @@
     it.dirty = true;
     events_(role_event("role-gained", role.role, role.epoch));
     if (role.role.kind == role_kind::account) {
-        const auto account = account_id{role.role.name};
-        auto limit = rate_limit{};
-        if (it.config && it.config->config.rules.limits.contains(account)) {
-            limit = it.config->config.rules.limits.at(account).limit;
-        }
-        it.accountants.insert_or_assign(account, accountant{limit, clock_now()});
+        close_accounts(role.role);
+        open_accounts();
         return;
     }
     const auto database = database_id{role.role.name};
@@ -244,13 +219,39 @@
     it.dirty = true;
     events_(role_event("role-lost", role.role, role.epoch));
     if (role.role.kind == role_kind::account) {
-        it.accountants.erase(account_id{role.role.name});
+        close_accounts(role.role);
         return;
     }
     const auto database = database_id{role.role.name};
     shard_of(database).release(database);
 }
 
+auto control_plane::open_accounts() -> void {
+    auto& it = *parts_;
+    if (!it.config) {
+        return;
+    }
+    const auto& rules = it.config->config.rules;
+    for (const auto& [account, rule] : rules.limits) {
+        const auto role = accountant_role(account, rules);
+        const auto found = it.accountants.find(account);
+        if (!role || !it.held.contains(*role)) {
+            it.accountants.erase(account);
+        } else if (found != it.accountants.end()) {
+            found->second.set_limit(clock_now(), rule.limit);
+        } else {
+            it.accountants.emplace(account, accountant{rule.limit, clock_now()});
+        }
+    }
+    std::erase_if(it.accountants, [&rules](const auto& held) { return !rules.limits.contains(held.first); });
+}
+
+auto control_plane::close_accounts(const role_id& group) -> void {
+    const auto& rules = parts_->config->config.rules;
+    std::erase_if(parts_->accountants,
+                  [&](const auto& held) { return accountant_role(held.first, rules) == group; });
+}
+
 auto control_plane::apply_roles() -> void {
     auto& it = *parts_;
     auto standby = std::vector<std::vector<database_settings>>(shards_.size());
@@ -293,7 +294,7 @@
         }
         known.asked = now;
         const auto& rules = it.config->config.rules;
-        auto cell = cell_of_account(account_id{role.name}, rules);
+        auto cell = std::optional{cell_of_accountant(role)};
         if (role.kind == role_kind::database) {
             const auto rule = rules.databases.find(database_id{role.name});
             cell = rule == rules.databases.end() ? std::nullopt : std::optional{rule->second.cell};
--- a/src/citronlugd/control_plane.h
+++ b/src/citronlugd/control_plane.h
@@ -100,6 +100,9 @@
     auto role_changed(const role_gained& role) -> void;
     auto role_changed(const role_lost& role) -> void;
     auto take_config(configuration config) -> bool;
+    /// Creates the buckets of held groups and brings all buckets to the limits of the rules.
+    auto open_accounts() -> void;
+    auto close_accounts(const role_id& group) -> void;
     auto apply_roles() -> void;
     auto spread_config() -> void;
     /// Takes over what a read of the store, asked at `asked_at`, found.
@@ -129,8 +132,5 @@
 
 /// Shard that a database belongs to.
 [[nodiscard]] auto shard_index(const database_id& database, std::size_t shards) -> std::size_t;
-/// Cell that accounts for a client account: a stable hash over the sorted cell names of the rules.
-[[nodiscard]] auto cell_of_account(const account_id& account, const rule_set& rules)
-    -> std::optional<cell_id>;
 
 } // namespace citronlug
--- a/src/citronlugd/entry.cpp
+++ b/src/citronlugd/entry.cpp
@@ -1,5 +1,7 @@
 #include "entry.h"
 
+#include "account_groups.h"
+
 #include <citronlug/plugin.h>
 #include <citronlug/session_token.h>
 
@@ -286,9 +288,12 @@
 auto entry::ask(const account_id& account, account_state& state) -> void {
     const auto now = clock_now();
     const auto wanted = state.policy->ask_size(now);
-    const auto location = control_.locate(role_id{role_kind::account, account.value});
+    const auto role = accountant_role(account, view_->config->config.rules);
+    const auto location = role ? control_.locate(*role) : std::nullopt;
     if (!location) {
-        control_.look_up(role_id{role_kind::account, account.value});
+        if (role) {
+            control_.look_up(*role);
+        }
         state.policy->on_grant_failed(now);
         return;
     }
@@ -315,7 +320,9 @@
     if (reply && reply->held) {
         state.policy->on_grant(now, asked_at, reply->tokens, reply->wait);
     } else {
-        control_.look_up(role_id{role_kind::account, account.value});
+        if (const auto role = accountant_role(account, view_->config->config.rules)) {
+            control_.look_up(*role);
+        }
         state.policy->on_grant_failed(now);
     }
     pump(account, state);
