Answer "not run" to a commit only after a known rollback

Cause: a commit repeated under another request id found no row and no open transaction, and the holder took that for a rollback. The caller would have run the transaction again. Change: the holder remembers which transactions it rolled back; a commit of any other ended transaction is "outcome unknown". The test expected the untrue "not run"; it now requires "outcome unknown", and a second test keeps "not run" after a known rollback. Before: database_holder_test accepted not_run for commit c2 of a committed transaction.

--- a/src/libcitronlug/database_holder_test.cpp
+++ b/src/libcitronlug/database_holder_test.cpp
@@ -332,8 +332,20 @@
     commit.deadline = deadline();
     const auto again = ask(commit);
     CHECK(again.outcome == verdict::done && again.replayed);
+    // Under another id there is no row that tells, so "not run" would make the caller run the transaction
+    // again.
     commit.id = request_id{"c2"};
     commit.deadline = deadline();
+    CHECK(ask(commit).outcome == verdict::unknown);
+}
+
+// Guards against an unknown outcome where the holder knows that it rolled the transaction back.
+TEST(open_transactions, a_commit_after_a_rollback_is_not_run) {
+    CHECK(ask(step(transaction_step::run, "a")).outcome == verdict::done);
+    CHECK(ask(step(transaction_step::rollback)).outcome == verdict::done);
+    auto commit = step(transaction_step::commit);
+    commit.id = request_id{"c1"};
+    commit.deadline = deadline();
     CHECK(is(ask(commit), verdict::not_run, failure_code::transaction_ended));
 }
 
--- a/src/libcitronlug/holder_impl.h
+++ b/src/libcitronlug/holder_impl.h
@@ -183,6 +183,7 @@
     /// Rolls the transaction back by closing its connection.
     auto end_transaction(time_point now, std::uint64_t number, failure_code code, const std::string& reason)
         -> void;
+    auto note_rolled_back(std::uint64_t number) -> void;
     auto end_transactions(time_point now, failure_code code, const std::string& reason) -> void;
     auto expire_transactions(time_point now) -> void;
     [[nodiscard]] auto transaction_limit_reached(const account_id& account) const -> bool;
@@ -228,7 +229,9 @@
 
     std::map<std::uint64_t, open_transaction> transactions_;
     std::uint64_t next_transaction_ = 1;
-    std::set<std::uint64_t> doubtful_commits_; ///< transactions whose commit has no known result
+    /// Recent transactions that were certainly rolled back. Any other ended transaction may have committed,
+    /// so a repeated commit of it is never answered with "not run".
+    std::set<std::uint64_t> rolled_back_;
 
     std::map<member_id, probe_state> probes_;
     std::uint64_t next_probe_ = 1;
--- a/src/libcitronlug/holder_transactions.cpp
+++ b/src/libcitronlug/holder_transactions.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr auto idle_limit = 5s;
-constexpr std::size_t doubtful_kept = 1024;
+constexpr std::size_t rolled_back_kept = 4096;
 
 } // namespace
 
@@ -30,7 +30,7 @@
     const auto ours = id.epoch == epoch_ && id.number < next_transaction_;
     if (work.kind == work_kind::commit) {
         // The commit may be a repeated one whose answer was lost; its row tells.
-        work.surely_ended = ours && !doubtful_commits_.contains(id.number);
+        work.surely_ended = ours && rolled_back_.contains(id.number);
         work.maybe_ran = true;
         if (!work.body.id.empty()) {
             look_up(work);
@@ -99,6 +99,7 @@
     case work_kind::run:
         if (!finished) {
             transactions_.erase(number); // its connection is closed already
+            note_rolled_back(number);
             refuse(now, work, failure_code::statement_failed,
                    outcome.sqlstate + ": " + outcome.message + "; the transaction was rolled back");
             return;
@@ -112,6 +113,7 @@
         return;
     case work_kind::rollback:
         transactions_.erase(number);
+        note_rolled_back(number);
         pool_.close(now, work.connection);
         deliver(now, work, std::move(value));
         return;
@@ -135,12 +137,12 @@
         value.transaction = work.body.transaction;
         acknowledge(now, work, std::move(value));
     } else if (outcome.status == pipeline_status::finished || outcome.results.size() > commit) {
-        doubtful_commits_.insert(work.body.transaction.number);
         resolve_doubt(now, work);
     } else if (commit == 1 && outcome.results.empty() && outcome.sqlstate == unique_violation) {
         work.maybe_ran = true;
         look_up(work);
     } else {
+        note_rolled_back(work.body.transaction.number);
         refuse(now, work, failure_code::statement_failed,
                outcome.sqlstate + ": " + outcome.message + "; the transaction was rolled back");
     }
@@ -156,20 +158,23 @@
     transactions_.erase(it);
     pool_.close(now, ended.connection);
     auto* const work = find(ended.step);
-    if (work == nullptr) {
+    if (work != nullptr && work->kind == work_kind::commit && work->stage == work_stage::running) {
+        resolve_doubt(now, *work);
         return;
     }
-    if (work->kind == work_kind::commit && work->stage == work_stage::running) {
-        doubtful_commits_.insert(number);
-        if (doubtful_commits_.size() > doubtful_kept) {
-            doubtful_commits_.erase(doubtful_commits_.begin());
-        }
-        resolve_doubt(now, *work);
-    } else {
+    note_rolled_back(number);
+    if (work != nullptr) {
         refuse(now, *work, code, reason + "; the transaction was rolled back");
     }
 }
 
+auto database_holder::implementation::note_rolled_back(std::uint64_t number) -> void {
+    rolled_back_.insert(number);
+    if (rolled_back_.size() > rolled_back_kept) {
+        rolled_back_.erase(rolled_back_.begin());
+    }
+}
+
 auto database_holder::implementation::end_transactions(time_point now, failure_code code,
                                                        const std::string& reason) -> void {
     while (!transactions_.empty()) {
