Bound the cost of reading the platform's list by a byte budget

Cause: each instance read the list of the whole fleet every 3 s, so the bytes per node grew with the fleet, by about 50 B/s for each instance. Change: a long list is read more rarely; the reads cost at most 500 B/s. Ruled out: reading by relays only, which moves the same growth to the relays.

--- a/src/bench/capacity.sh
+++ b/src/bench/capacity.sh
@@ -27,7 +27,7 @@
 
 part_fleet() {
     local n
-    for n in 3 9 27 81; do
+    for n in ${FLEET_SIZES:-3 9 27 81}; do
         (instances=$n databases=1; source "$here/cluster.sh"; start_cluster; echo "fleet of $n instances: $(quiet_usage)")
     done
 }
--- a/src/citronlugd/control_parts.h
+++ b/src/citronlugd/control_parts.h
@@ -35,6 +35,7 @@
     std::uint64_t seen_record = 0;
     std::size_t seen_live = 0;
     time_point next_listing;
+    time_point next_list_read;
     time_point next_standby;
     bool watching = false;
     bool serving = false;
--- a/src/citronlugd/control_plane.cpp
+++ b/src/citronlugd/control_plane.cpp
@@ -10,8 +10,12 @@
 namespace {
 
 constexpr auto timer_interval_ms = 100;
-/// The platform's list is read and this instance announced at this interval.
+/// This instance is announced, and a short platform list read, at this interval.
 constexpr auto listing_interval = 3s;
+/// The list has about this many bytes per instance of the whole fleet. A long one is read more rarely, so
+/// that reading it costs each instance no more than the budget, whatever the size of the fleet.
+constexpr auto list_entry_bytes = 150;
+constexpr auto list_budget_bytes_per_s = 500;
 /// A judgement of the timer is used no longer than this, so that a paused process does not act on an old one.
 constexpr auto judgement_life = 300ms;
 constexpr auto standby_interval = 500ms;
@@ -40,6 +44,12 @@
 
 } // namespace
 
+auto list_interval(std::size_t instances) -> duration {
+    const auto by_budget = duration{1s} * static_cast<std::int64_t>(instances) * list_entry_bytes;
+    // Half an announcement's interval less, so that a short list is read with each announcement.
+    return std::max<duration>(listing_interval - listing_interval / 2, by_budget / list_budget_bytes_per_s);
+}
+
 auto shard_index(const database_id& database, std::size_t shards) -> std::size_t {
     return stable_hash(database.value) % shards;
 }
@@ -269,12 +279,18 @@
 
 auto control_plane::refresh_listing() -> void {
     auto& it = *parts_;
+    const auto now = clock_now();
     const auto self = listed_instance{settings_.instance,      settings_.cell,   settings_.peer_address,
                                       settings_.admin_address, settings_.domain, it.leaving};
     it.store.announce(self, [](bool) {});
+    if (now < it.next_list_read) {
+        return;
+    }
+    it.next_list_read = now + list_interval(it.listed.size());
     it.store.instances([this](std::optional<std::vector<listed_instance>> list) {
         if (list) {
             parts_->listed = *list;
+            parts_->next_list_read = clock_now() + list_interval(list->size());
             parts_->node.on_instance_list(clock_now(), *list);
             after_event();
         }
--- a/src/citronlugd/control_plane.h
+++ b/src/citronlugd/control_plane.h
@@ -130,6 +130,8 @@
     event_thread thread_;
 };
 
+/// Time between two reads of a platform list with this many instances.
+[[nodiscard]] auto list_interval(std::size_t instances) -> duration;
 /// Shard that a database belongs to.
 [[nodiscard]] auto shard_index(const database_id& database, std::size_t shards) -> std::size_t;
 
