--- a/src/standin/session.cpp
+++ b/src/standin/session.cpp
@@ -325,7 +325,7 @@
     }
     skipping_ = false;
     out_.ready(transaction_status());
-    ++answers_;
+    answers_ += std::exchange(used_table_, false) ? 1 : 0;
 }
 
 auto session::next_simple() -> void {
@@ -402,6 +402,7 @@
     const auto kind = work.statement->kind;
     if (kind != sql_kind::position) {
         last_commit_.reset();
+        used_table_ = used_table_ || !work.statement->table.empty();
     }
     switch (kind) {
     case sql_kind::empty:
--- a/src/standin/session.h
+++ b/src/standin/session.h
@@ -74,7 +74,8 @@
     [[nodiscard]] auto parameters() const -> const std::map<std::string, std::string>& { return startup_; }
     [[nodiscard]] auto application_name() const -> std::string;
     [[nodiscard]] auto statements() const -> std::uint64_t { return statements_; }
-    /// Number of complete answers (ReadyForQuery) so far.
+    /// Number of complete answers to statements on tables so far. Answers to status questions do not count,
+    /// since a fault for the next answer would meet them by chance.
     [[nodiscard]] auto answers() const -> std::uint64_t { return answers_; }
 
 private:
@@ -129,6 +130,7 @@
     std::optional<std::pair<log_position, term_number>> last_commit_;
     std::uint64_t statements_ = 0;
     std::uint64_t answers_ = 0;
+    bool used_table_ = false; ///< since the last complete answer
 };
 
 } // namespace citronlug::standin
