--- a/src/citronlug/rule_commands.cpp
+++ b/src/citronlug/rule_commands.cpp
@@ -157,40 +157,41 @@
     return finish_change(line, context, answer);
 }
 
-auto show(const command_line& line, command_context& context) -> exit_code {
-    const auto outcome = context.server.get("/rules");
+/// Fetches `path` and prints its body: as JSON if the caller wants that, else by `print`.
+template <class Print>
+auto print_body(const command_line& line, command_context& context, const char* path, Print&& print)
+    -> exit_code {
+    const auto outcome = context.server.get(path);
     if (!outcome.succeeded()) {
         return report_failure(line, context, outcome);
     }
     const auto body = body_of(outcome);
     if (line.json) {
         print_json(context, body);
-        return exit_code::done;
+    } else {
+        print(body, outcome.server);
     }
-    // Standard output holds the file only, so that it can be edited and applied.
-    const auto text = body.value("text").toString().toStdString();
-    context.out << text << (text.empty() || text.ends_with('\n') ? "" : "\n") << std::flush;
-    fmt::print(context.err, "version {}{}\n", body.value("version").toInteger(),
-               body.value("from_store").toBool()
-                   ? ""
-                   : ", in force at " + outcome.server + "; the store does not answer");
     return exit_code::done;
 }
 
+auto show(const command_line& line, command_context& context) -> exit_code {
+    return print_body(line, context, "/rules", [&](const QJsonObject& body, const std::string& server) {
+        // Standard output holds the file only, so that it can be edited and applied.
+        const auto text = body.value("text").toString().toStdString();
+        context.out << text << (text.empty() || text.ends_with('\n') ? "" : "\n") << std::flush;
+        fmt::print(context.err, "version {}{}\n", body.value("version").toInteger(),
+                   body.value("from_store").toBool()
+                       ? ""
+                       : ", in force at " + server + "; the store does not answer");
+    });
+}
+
 auto history(const command_line& line, command_context& context) -> exit_code {
-    const auto outcome = context.server.get("/history");
-    if (!outcome.succeeded()) {
-        return report_failure(line, context, outcome);
-    }
-    const auto body = body_of(outcome);
-    if (line.json) {
-        print_json(context, body);
-        return exit_code::done;
-    }
-    for (const auto& it : body.value("changes").toArray()) {
-        print_change(context.out, it.toObject());
-    }
-    return exit_code::done;
+    return print_body(line, context, "/history", [&](const QJsonObject& body, const std::string& /*server*/) {
+        for (const auto& it : body.value("changes").toArray()) {
+            print_change(context.out, it.toObject());
+        }
+    });
 }
 
 } // namespace
--- a/src/citronlugd/admin_json.cpp
+++ b/src/citronlugd/admin_json.cpp
@@ -1,5 +1,7 @@
 #include "admin_json.h"
 
+#include "http_status.h"
+
 #include <QDateTime>
 #include <QJsonDocument>
 
@@ -28,23 +30,6 @@
     return array;
 }
 
-auto status_of(failure_code code) -> int {
-    switch (code) {
-    case failure_code::bad_request:
-        return 400;
-    case failure_code::unauthorised:
-        return 401;
-    case failure_code::forbidden:
-        return 403;
-    case failure_code::no_route:
-        return 404;
-    case failure_code::conflict:
-        return 409;
-    default:
-        return 503;
-    }
-}
-
 } // namespace
 
 auto to_qt(const std::string& text) -> QString {
@@ -160,7 +145,7 @@
 auto error_response(const failure& error, QJsonObject more) -> admin_response {
     more.insert("error",
                 QJsonObject{{"code", to_qt(name_of(error.code))}, {"message", to_qt(error.message)}});
-    return json_response(status_of(error.code), more);
+    return json_response(http_status(error.code), more);
 }
 
 } // namespace citronlug
--- a/src/citronlugd/caller_api.cpp
+++ b/src/citronlugd/caller_api.cpp
@@ -1,5 +1,7 @@
 #include "caller_api.h"
 
+#include "http_status.h"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -248,28 +250,7 @@
     if (value.outcome == verdict::unknown) {
         return 504;
     }
-    switch (value.error ? value.error->code : failure_code::overloaded) {
-    case failure_code::bad_request:
-    case failure_code::invalid_token:
-        return 400;
-    case failure_code::unauthorised:
-        return 401;
-    case failure_code::forbidden:
-        return 403;
-    case failure_code::no_route:
-        return 404;
-    case failure_code::session_lost:
-    case failure_code::duplicate_running:
-    case failure_code::conflict:
-    case failure_code::transaction_ended:
-        return 409;
-    case failure_code::statement_failed:
-        return 422;
-    case failure_code::rate_limited:
-        return 429;
-    default:
-        return 503;
-    }
+    return http_status(value.error ? value.error->code : failure_code::overloaded);
 }
 
 } // namespace citronlug
