--- a/src/bench/cluster.sh
+++ b/src/bench/cluster.sh
@@ -72,6 +72,8 @@
     done
 }
 
+has_majority() { [[ $(admin i1 GET /status) == *'"majority":true'* ]]; }
+
 start_cluster() {
     local n account
     start_store
@@ -89,11 +91,13 @@
         start_instance "i$n" "d$(((n - 1) % 3 + 1))"
     done
     wait_for 20 apply_rules i1 "$(bench_rules)" || die "rules were not accepted: ${result:-}"
+    # While instances join, one that accepted the rules may lack contact with the grown majority for a moment.
+    wait_for 20 all_healthy || die "not all instances serve"
+    wait_for 20 has_majority || die "no contact with a majority"
     : >"$work/keys"
     for account in $(accounts | cut -d' ' -f1) ticker; do
         issue_key i1 "$account"
         echo "$account $key" >>"$work/keys"
     done
-    wait_for 20 all_healthy || die "not all instances serve"
     write_cluster_file
 }
