Remove the setting connection_mode, which nothing used

The value "direct" was accepted without effect. A refused promotion now reports no term to the holder, since the member's term is not known from the refusal.

--- a/src/bench/bench.sh
+++ b/src/bench/bench.sh
@@ -28,7 +28,6 @@
         baseline-primary-reads) read_policy=primary ;;
         baseline-static-shares) limit_policy=static_share ;;
         baseline-fifo-overload) queue_policy=fifo args=(--overload "$heavy" --factor 8) ;;
-        baseline-direct) connection_mode=direct ;;
         replica-lag) args=(--fault "replica-lag@4+5:8000") ;;
         lose-answers) args=(--fault "lose-answers@4+1:5") ;;
         *) args=(--fault "$experiment@4+8") ;;
--- a/src/bench/cluster.sh
+++ b/src/bench/cluster.sh
@@ -6,7 +6,7 @@
 
 : "${profile:=karttapaja}" "${instances:=9}" "${extra_rules:=}" "${databases:=3}"
 : "${slots:=5}" "${connections:=35}" "${connect_ms:=12}" "${lag_ms:=20}" "${statement_us:=400}"
-: "${read_policy:=evidence}" "${queue_policy:=fair}" "${limit_policy:=granted}" "${connection_mode:=holder}"
+: "${read_policy:=evidence}" "${queue_policy:=fair}" "${limit_policy:=granted}"
 : "${max_age:=5s}"
 
 # "ACCOUNT RATE BURST" lines of the profile.
@@ -82,7 +82,7 @@
             --connect-delay-ms "$connect_ms" --lag-ms "$lag_ms" --statement-us "$statement_us" --seed "$n"
     done
     EXTRA_SETTINGS=", \"read_policy\": \"$read_policy\", \"queue_policy\": \"$queue_policy\",
-        \"limit_policy\": \"$limit_policy\", \"connection_mode\": \"$connection_mode\",
+        \"limit_policy\": \"$limit_policy\",
         \"limits\": {\"connections\": 12000}"
     local base_settings=$EXTRA_SETTINGS
     for n in $(seq "$instances"); do
--- a/src/citronlugd/holder_shard.cpp
+++ b/src/citronlugd/holder_shard.cpp
@@ -274,8 +274,8 @@
         const auto member = it->member;
         control_statement(holder, member, fmt::format("SELECT citronlug_promote({})", it->expected_term),
                           [member, term = it->expected_term](held& h, const pipeline_result& result) {
-                              h.logic.on_promoted(clock_now(), member,
-                                                  result.status == pipeline_status::finished, term + 1);
+                              const auto success = result.status == pipeline_status::finished;
+                              h.logic.on_promoted(clock_now(), member, success, success ? term + 1 : 0);
                           });
     } else if (const auto* it = std::get_if<follow_primary>(&action)) {
         control_statement(holder, it->member,
--- a/src/include/citronlug/settings.h
+++ b/src/include/citronlug/settings.h
@@ -4,7 +4,6 @@
 #include <citronlug/cell_node.h>
 #include <citronlug/types.h>
 
-#include <array>
 #include <map>
 #include <string>
 #include <variant>
@@ -26,17 +25,6 @@
     duration idle = 60s; ///< a connection without a request is closed after this time
 };
 
-/// How statements reach the members.
-enum class connection_mode {
-    holder, ///< through the holder of the database
-    direct, ///< baseline: each instance with its own connections
-};
-
-template <>
-struct name_table<connection_mode> {
-    static constexpr std::array<std::string_view, 2> names{"holder", "direct"};
-};
-
 /// Settings of one process, read once at its start.
 struct process_settings {
     instance_id instance;
@@ -56,7 +44,6 @@
     std::string queue_policy = "fair";
     std::string limit_policy = "granted";
     std::string promotion_policy = "advanced";
-    citronlug::connection_mode connections = connection_mode::holder;
     /// Peer addresses of some instances of other cells, by cell.
     std::map<cell_id, std::vector<std::string>> other_cells;
 };
--- a/src/libcitronlug/settings.cpp
+++ b/src/libcitronlug/settings.cpp
@@ -256,8 +256,6 @@
     auto errors = std::vector<setting_error>{};
     auto in = object_reader{document.object(), "", errors};
     auto settings = process_settings{};
-    const auto modes = std::vector<std::string>(name_table<connection_mode>::names.begin(),
-                                                name_table<connection_mode>::names.end());
     settings.instance = instance_id{in.text("instance", is_name, name_form)};
     settings.cell = cell_id{in.text("cell", is_name, name_form)};
     settings.region = in.text("region", is_name, name_form);
@@ -277,8 +275,6 @@
     settings.queue_policy = in.one_of("queue_policy", policies.queue, settings.queue_policy);
     settings.limit_policy = in.one_of("limit_policy", policies.limit, settings.limit_policy);
     settings.promotion_policy = in.one_of("promotion_policy", policies.promotion, settings.promotion_policy);
-    settings.connections = value_of<connection_mode>(in.one_of("connection_mode", modes, "holder"))
-                               .value_or(connection_mode::holder);
     settings.other_cells = read_cells(in.object("other_cells"), settings.cell);
     in.refuse_unknown();
     auto used = std::set<std::string>{};
--- a/src/libcitronlug/settings_test.cpp
+++ b/src/libcitronlug/settings_test.cpp
@@ -52,7 +52,7 @@
     CHECK(std::holds_alternative<process_settings>(parsed));
     const auto& settings = std::get<process_settings>(parsed);
     CHECK(settings.lease.lease == 2000ms && settings.lease.drift_allowance == 200ms);
-    CHECK(settings.read_policy == "evidence" && settings.connections == connection_mode::holder);
+    CHECK(settings.read_policy == "evidence");
     CHECK(settings.admin_tokens.at(0).name == "aino" && settings.other_cells.empty());
 }
 
@@ -60,13 +60,12 @@
     auto object = good_object();
     object["lease"] = QJsonObject{{"lease_ms", 3000}, {"heartbeat_ms", 500}};
     object["limits"] = QJsonObject{{"idle_seconds", 5}};
-    object["connection_mode"] = "direct";
     object["other_cells"] = QJsonObject{{"c2", QJsonArray{"127.0.0.1:8201"}}};
     const auto parsed = parse(object);
     CHECK(std::holds_alternative<process_settings>(parsed));
     const auto& settings = std::get<process_settings>(parsed);
     CHECK(settings.lease.lease == 3s && settings.lease.drift_allowance == 300ms);
-    CHECK(settings.limits.idle == 5s && settings.connections == connection_mode::direct);
+    CHECK(settings.limits.idle == 5s);
     CHECK(settings.other_cells.at(cell_id{"c2"}).at(0) == "127.0.0.1:8201");
 }
 
@@ -126,7 +125,7 @@
                 break;
             }
         }
-        for (const auto* field : {"shards", "read_policy", "connection_mode", "limits"}) {
+        for (const auto* field : {"shards", "read_policy", "queue_policy", "limits"}) {
             if (*rc::gen::arbitrary<bool>()) {
                 object[QLatin1String{field}] = -1;
                 expected.insert(field);
