--- a/src/libcitronlug/holder_failover.cpp
+++ b/src/libcitronlug/holder_failover.cpp
@@ -20,7 +20,7 @@
     500ms;                              // a new connection without an answer for this long counts as failed
 constexpr auto suspicion_time = 1200ms; // shorter than this, a pause of the server would cost a change
 constexpr auto reachable_time = 1s;
-constexpr auto change_spacing = 5s;     // between changes, so that two ailing members do not alternate
+constexpr auto change_spacing = 5s;     // between changes, so that two failing members do not alternate
 constexpr auto attempt_spacing = 500ms; // between promotions that failed
 constexpr auto promotion_time = 2s;     // for the result of an order
 constexpr auto follow_spacing = 1s;
--- a/src/libcitronlug/member_view_test.cpp
+++ b/src/libcitronlug/member_view_test.cpp
@@ -147,7 +147,7 @@
     CHECK(plugin_registry<read_policy>::make("primary")->choose(members) == 0U);
 }
 
-// Guards against retries that multiply the load of an ailing group.
+// Guards against retries that multiply the load of an failing group.
 TEST(holder_policies, retries_are_a_tenth_of_the_requests) {
     auto budget = retry_budget{at(0s)};
     auto taken = 0;
--- a/src/libcitronlug/retry_budget.h
+++ b/src/libcitronlug/retry_budget.h
@@ -5,7 +5,7 @@
 namespace citronlug {
 
 /// Limits retries to a tenth of the requests, but allows one a second, so that retries do not multiply the
-/// load of an ailing group. Not thread-safe.
+/// load of an failing group. Not thread-safe.
 class retry_budget {
 public:
     explicit retry_budget(time_point now);
