Serve Qt threads by epoll, so that idle connections cost nothing per event

Cause: Qt's dispatcher passes all sockets of a thread to poll() in each iteration, so an event of the callers' thread cost time in proportion to its connections (KNOWN-RED, testsuite/idle-connections). Ruled out: timers per connection (none run while a connection is idle) and the HTTP server's own table (hash look-up). Quiet loads were not measured again.

--- a/src/citronlugd/main.cpp
+++ b/src/citronlugd/main.cpp
@@ -1,4 +1,5 @@
 #include "daemon.h"
+#include "epoll_dispatcher.h"
 
 #include <QCoreApplication>
 #include <QSocketNotifier>
@@ -87,6 +88,7 @@
         return 1;
     }
     raise_descriptor_limit();
+    QCoreApplication::setEventDispatcher(new citronlug::epoll_dispatcher);
     auto application = QCoreApplication{argc, argv};
     auto instance = citronlug::daemon{std::move(*settings)};
     if (const auto error = instance.start()) {
