--- a/src/citronlugd/peer.capnp
+++ b/src/citronlugd/peer.capnp
@@ -134,6 +134,54 @@
   limit @4 :UInt32;
 }
 
+# What an instance tells the coordinator about one group of backend servers. Times are ages; -1: never.
+struct GroupReport {
+  group @0 :Text;
+  released @1 :UInt64;
+  hasAcknowledged @2 :Bool;
+  acknowledged @3 :Position;
+  answeredUs @4 :Int64;
+  failedUs @5 :Int64;
+  lostLead @6 :Bool;
+}
+
+struct TokenQuestion {
+  account @0 :Text;
+  wanted @1 :UInt32;
+}
+
+struct TokenAnswer {
+  account @0 :Text;
+  tokens @1 :UInt32;
+  waitUs @2 :Int64;
+}
+
+struct InstanceReport {
+  instance @0 :Text;
+  run @1 :UInt64;
+  groups @2 :List(GroupReport);
+  questions @3 :List(TokenQuestion);
+}
+
+struct GroupWord {
+  group @0 :Text;
+  primary @1 :Text;
+  term @2 :UInt64;
+  generation @3 :UInt64;
+  changing @4 :Bool;
+  hasSample @5 :Bool;
+  sample @6 :Position;
+  sampleAgeUs @7 :Int64;
+}
+
+struct ReportAnswer {
+  holdsDuty @0 :Bool;
+  instances @1 :UInt32;
+  rulesVersion @2 :UInt64;
+  groups @3 :List(GroupWord);
+  tokens @4 :List(TokenAnswer);
+}
+
 # What a connection offers before it is authenticated.
 interface Gate {
   # Random bytes for the proof of this connection.
@@ -157,4 +205,5 @@
   timeline @6 (filter :EventFilter) -> (events :List(Event));
   ping @7 () -> (configVersion :UInt64);
   cancel @8 (database :Text, account :Text, request :Text);
+  report @9 (report :InstanceReport) -> (answer :ReportAnswer);
 }
--- a/src/citronlugd/peer.capnp.h
+++ b/src/citronlugd/peer.capnp.h
@@ -32,6 +32,12 @@
 CAPNP_DECLARE_SCHEMA(fa9ac223e77d7b5a);
 CAPNP_DECLARE_SCHEMA(ca2b7f6d848dea45);
 CAPNP_DECLARE_SCHEMA(a8a66579f9bb491a);
+CAPNP_DECLARE_SCHEMA(daad196f63e30ff0);
+CAPNP_DECLARE_SCHEMA(dbf9b83d6064ea30);
+CAPNP_DECLARE_SCHEMA(8de0051ae6cf2245);
+CAPNP_DECLARE_SCHEMA(a877fb9ff9642259);
+CAPNP_DECLARE_SCHEMA(d607e7ee910a54ad);
+CAPNP_DECLARE_SCHEMA(c60cb8a5ba5ec98c);
 CAPNP_DECLARE_SCHEMA(be62c75be6c6eb28);
 CAPNP_DECLARE_SCHEMA(8a41728df639fc6f);
 CAPNP_DECLARE_SCHEMA(c22fb193b1ef8685);
@@ -56,6 +62,8 @@
 CAPNP_DECLARE_SCHEMA(c70e58f6073e2e9a);
 CAPNP_DECLARE_SCHEMA(cfc76e0cac2c2c2e);
 CAPNP_DECLARE_SCHEMA(9d5a155bfe9c2386);
+CAPNP_DECLARE_SCHEMA(84e1658ac0647934);
+CAPNP_DECLARE_SCHEMA(a52dc7bb6c0146d9);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -272,6 +280,96 @@
   };
 };
 
+struct GroupReport {
+  GroupReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(daad196f63e30ff0, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TokenQuestion {
+  TokenQuestion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dbf9b83d6064ea30, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TokenAnswer {
+  TokenAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8de0051ae6cf2245, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct InstanceReport {
+  InstanceReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a877fb9ff9642259, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GroupWord {
+  GroupWord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d607e7ee910a54ad, 4, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ReportAnswer {
+  ReportAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c60cb8a5ba5ec98c, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -379,6 +477,8 @@
   struct PingResults;
   struct CancelParams;
   struct CancelResults;
+  struct ReportParams;
+  struct ReportResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -658,6 +758,36 @@
   };
 };
 
+struct Peer::ReportParams {
+  ReportParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(84e1658ac0647934, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ReportResults {
+  ReportResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a52dc7bb6c0146d9, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Heartbeat::Reader {
@@ -2235,68 +2365,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Gate::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Gate Calls;
-  typedef Gate Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::citronlug::wire::Gate::ChallengeParams,  ::citronlug::wire::Gate::ChallengeResults> challengeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::citronlug::wire::Gate::EnterParams,  ::citronlug::wire::Gate::EnterResults> enterRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Gate::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Gate Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::citronlug::wire::Gate::ChallengeParams ChallengeParams;
-  typedef  ::citronlug::wire::Gate::ChallengeResults ChallengeResults;
-  typedef ::capnp::CallContext<ChallengeParams, ChallengeResults> ChallengeContext;
-  virtual ::kj::Promise<void> challenge(ChallengeContext context);
-  typedef  ::citronlug::wire::Gate::EnterParams EnterParams;
-  typedef  ::citronlug::wire::Gate::EnterResults EnterResults;
-  typedef ::capnp::CallContext<EnterParams, EnterResults> EnterContext;
-  virtual ::kj::Promise<void> enter(EnterContext context);
-
-  inline  ::citronlug::wire::Gate::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::citronlug::wire::Gate>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Gate::ChallengeParams::Reader {
+class GroupReport::Reader {
 public:
-  typedef ChallengeParams Reads;
+  typedef GroupReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2311,6 +2382,22 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline  ::uint64_t getReleased() const;
+
+  inline bool getHasAcknowledged() const;
+
+  inline bool hasAcknowledged() const;
+  inline  ::citronlug::wire::Position::Reader getAcknowledged() const;
+
+  inline  ::int64_t getAnsweredUs() const;
+
+  inline  ::int64_t getFailedUs() const;
+
+  inline bool getLostLead() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2323,9 +2410,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::ChallengeParams::Builder {
+class GroupReport::Builder {
 public:
-  typedef ChallengeParams Builds;
+  typedef GroupReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2339,6 +2426,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline  ::uint64_t getReleased();
+  inline void setReleased( ::uint64_t value);
+
+  inline bool getHasAcknowledged();
+  inline void setHasAcknowledged(bool value);
+
+  inline bool hasAcknowledged();
+  inline  ::citronlug::wire::Position::Builder getAcknowledged();
+  inline void setAcknowledged( ::citronlug::wire::Position::Reader value);
+  inline  ::citronlug::wire::Position::Builder initAcknowledged();
+  inline void adoptAcknowledged(::capnp::Orphan< ::citronlug::wire::Position>&& value);
+  inline ::capnp::Orphan< ::citronlug::wire::Position> disownAcknowledged();
+
+  inline  ::int64_t getAnsweredUs();
+  inline void setAnsweredUs( ::int64_t value);
+
+  inline  ::int64_t getFailedUs();
+  inline void setFailedUs( ::int64_t value);
+
+  inline bool getLostLead();
+  inline void setLostLead(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2349,14 +2465,15 @@
 };
 
 #if !CAPNP_LITE
-class Gate::ChallengeParams::Pipeline {
+class GroupReport::Pipeline {
 public:
-  typedef ChallengeParams Pipelines;
+  typedef GroupReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::citronlug::wire::Position::Pipeline getAcknowledged();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2365,9 +2482,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gate::ChallengeResults::Reader {
+class TokenQuestion::Reader {
 public:
-  typedef ChallengeResults Reads;
+  typedef TokenQuestion Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2382,8 +2499,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNonce() const;
-  inline  ::capnp::Data::Reader getNonce() const;
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline  ::uint32_t getWanted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2397,9 +2516,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::ChallengeResults::Builder {
+class TokenQuestion::Builder {
 public:
-  typedef ChallengeResults Builds;
+  typedef TokenQuestion Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2413,12 +2532,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNonce();
-  inline  ::capnp::Data::Builder getNonce();
-  inline void setNonce( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initNonce(unsigned int size);
-  inline void adoptNonce(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownNonce();
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline  ::uint32_t getWanted();
+  inline void setWanted( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2430,9 +2552,9 @@
 };
 
 #if !CAPNP_LITE
-class Gate::ChallengeResults::Pipeline {
+class TokenQuestion::Pipeline {
 public:
-  typedef ChallengeResults Pipelines;
+  typedef TokenQuestion Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2446,9 +2568,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gate::EnterParams::Reader {
+class TokenAnswer::Reader {
 public:
-  typedef EnterParams Reads;
+  typedef TokenAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2463,11 +2585,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom() const;
-  inline  ::capnp::Text::Reader getFrom() const;
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
-  inline bool hasProof() const;
-  inline  ::capnp::Data::Reader getProof() const;
+  inline  ::uint32_t getTokens() const;
+
+  inline  ::int64_t getWaitUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2481,9 +2604,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::EnterParams::Builder {
+class TokenAnswer::Builder {
 public:
-  typedef EnterParams Builds;
+  typedef TokenAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2497,19 +2620,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom();
-  inline  ::capnp::Text::Builder getFrom();
-  inline void setFrom( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFrom(unsigned int size);
-  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
-  inline bool hasProof();
-  inline  ::capnp::Data::Builder getProof();
-  inline void setProof( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initProof(unsigned int size);
-  inline void adoptProof(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownProof();
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
+
+  inline  ::int64_t getWaitUs();
+  inline void setWaitUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2521,9 +2643,9 @@
 };
 
 #if !CAPNP_LITE
-class Gate::EnterParams::Pipeline {
+class TokenAnswer::Pipeline {
 public:
-  typedef EnterParams Pipelines;
+  typedef TokenAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2537,9 +2659,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gate::EnterResults::Reader {
+class InstanceReport::Reader {
 public:
-  typedef EnterResults Reads;
+  typedef InstanceReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2554,10 +2676,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPeer() const;
-#if !CAPNP_LITE
-  inline  ::citronlug::wire::Peer::Client getPeer() const;
-#endif  // !CAPNP_LITE
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline  ::uint64_t getRun() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+  inline bool hasQuestions() const;
+  inline  ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>::Reader getQuestions() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2571,9 +2699,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::EnterResults::Builder {
+class InstanceReport::Builder {
 public:
-  typedef EnterResults Builds;
+  typedef InstanceReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2587,14 +2715,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPeer();
-#if !CAPNP_LITE
-  inline  ::citronlug::wire::Peer::Client getPeer();
-  inline void setPeer( ::citronlug::wire::Peer::Client&& value);
-  inline void setPeer( ::citronlug::wire::Peer::Client& value);
-  inline void adoptPeer(::capnp::Orphan< ::citronlug::wire::Peer>&& value);
-  inline ::capnp::Orphan< ::citronlug::wire::Peer> disownPeer();
-#endif  // !CAPNP_LITE
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>> disownGroups();
+
+  inline bool hasQuestions();
+  inline  ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>::Builder getQuestions();
+  inline void setQuestions( ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>::Builder initQuestions(unsigned int size);
+  inline void adoptQuestions(::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>> disownQuestions();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2606,15 +2749,14 @@
 };
 
 #if !CAPNP_LITE
-class Gate::EnterResults::Pipeline {
+class InstanceReport::Pipeline {
 public:
-  typedef EnterResults Pipelines;
+  typedef InstanceReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::citronlug::wire::Peer::Client getPeer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2623,110 +2765,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::citronlug::wire::Peer::CellMessageParams,  ::citronlug::wire::Peer::CellMessageResults> cellMessageRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::citronlug::wire::Peer::ExecuteParams,  ::citronlug::wire::Peer::ExecuteResults> executeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::citronlug::wire::Peer::TakeGrantParams,  ::citronlug::wire::Peer::TakeGrantResults> takeGrantRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::citronlug::wire::Peer::GiveBackParams,  ::citronlug::wire::Peer::GiveBackResults> giveBackRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::citronlug::wire::Peer::FetchConfigParams,  ::citronlug::wire::Peer::FetchConfigResults> fetchConfigRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::citronlug::wire::Peer::LocateParams,  ::citronlug::wire::Peer::LocateResults> locateRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::citronlug::wire::Peer::TimelineParams,  ::citronlug::wire::Peer::TimelineResults> timelineRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::citronlug::wire::Peer::PingParams,  ::citronlug::wire::Peer::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::citronlug::wire::Peer::CancelParams,  ::citronlug::wire::Peer::CancelResults> cancelRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::citronlug::wire::Peer::CellMessageParams CellMessageParams;
-  typedef  ::citronlug::wire::Peer::CellMessageResults CellMessageResults;
-  typedef ::capnp::CallContext<CellMessageParams, CellMessageResults> CellMessageContext;
-  virtual ::kj::Promise<void> cellMessage(CellMessageContext context);
-  typedef  ::citronlug::wire::Peer::ExecuteParams ExecuteParams;
-  typedef  ::citronlug::wire::Peer::ExecuteResults ExecuteResults;
-  typedef ::capnp::CallContext<ExecuteParams, ExecuteResults> ExecuteContext;
-  virtual ::kj::Promise<void> execute(ExecuteContext context);
-  typedef  ::citronlug::wire::Peer::TakeGrantParams TakeGrantParams;
-  typedef  ::citronlug::wire::Peer::TakeGrantResults TakeGrantResults;
-  typedef ::capnp::CallContext<TakeGrantParams, TakeGrantResults> TakeGrantContext;
-  virtual ::kj::Promise<void> takeGrant(TakeGrantContext context);
-  typedef  ::citronlug::wire::Peer::GiveBackParams GiveBackParams;
-  typedef  ::citronlug::wire::Peer::GiveBackResults GiveBackResults;
-  typedef ::capnp::CallContext<GiveBackParams, GiveBackResults> GiveBackContext;
-  virtual ::kj::Promise<void> giveBack(GiveBackContext context);
-  typedef  ::citronlug::wire::Peer::FetchConfigParams FetchConfigParams;
-  typedef  ::citronlug::wire::Peer::FetchConfigResults FetchConfigResults;
-  typedef ::capnp::CallContext<FetchConfigParams, FetchConfigResults> FetchConfigContext;
-  virtual ::kj::Promise<void> fetchConfig(FetchConfigContext context);
-  typedef  ::citronlug::wire::Peer::LocateParams LocateParams;
-  typedef  ::citronlug::wire::Peer::LocateResults LocateResults;
-  typedef ::capnp::CallContext<LocateParams, LocateResults> LocateContext;
-  virtual ::kj::Promise<void> locate(LocateContext context);
-  typedef  ::citronlug::wire::Peer::TimelineParams TimelineParams;
-  typedef  ::citronlug::wire::Peer::TimelineResults TimelineResults;
-  typedef ::capnp::CallContext<TimelineParams, TimelineResults> TimelineContext;
-  virtual ::kj::Promise<void> timeline(TimelineContext context);
-  typedef  ::citronlug::wire::Peer::PingParams PingParams;
-  typedef  ::citronlug::wire::Peer::PingResults PingResults;
-  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
-  virtual ::kj::Promise<void> ping(PingContext context);
-  typedef  ::citronlug::wire::Peer::CancelParams CancelParams;
-  typedef  ::citronlug::wire::Peer::CancelResults CancelResults;
-  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
-  virtual ::kj::Promise<void> cancel(CancelContext context);
-
-  inline  ::citronlug::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::citronlug::wire::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::CellMessageParams::Reader {
+class GroupWord::Reader {
 public:
-  typedef CellMessageParams Reads;
+  typedef GroupWord Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2741,15 +2782,24 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage() const;
-  inline  ::citronlug::wire::CellMessage::Reader getMessage() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::int64_t getWallUs() const;
+  inline bool hasPrimary() const;
+  inline  ::capnp::Text::Reader getPrimary() const;
 
-  inline  ::uint32_t getCounter() const;
+  inline  ::uint64_t getTerm() const;
 
-  inline bool hasSender() const;
-  inline  ::capnp::Text::Reader getSender() const;
+  inline  ::uint64_t getGeneration() const;
+
+  inline bool getChanging() const;
+
+  inline bool getHasSample() const;
+
+  inline bool hasSample() const;
+  inline  ::citronlug::wire::Position::Reader getSample() const;
+
+  inline  ::int64_t getSampleAgeUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2763,9 +2813,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CellMessageParams::Builder {
+class GroupWord::Builder {
 public:
-  typedef CellMessageParams Builds;
+  typedef GroupWord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2779,25 +2829,41 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage();
-  inline  ::citronlug::wire::CellMessage::Builder getMessage();
-  inline void setMessage( ::citronlug::wire::CellMessage::Reader value);
-  inline  ::citronlug::wire::CellMessage::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::citronlug::wire::CellMessage>&& value);
-  inline ::capnp::Orphan< ::citronlug::wire::CellMessage> disownMessage();
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::int64_t getWallUs();
-  inline void setWallUs( ::int64_t value);
+  inline bool hasPrimary();
+  inline  ::capnp::Text::Builder getPrimary();
+  inline void setPrimary( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrimary(unsigned int size);
+  inline void adoptPrimary(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrimary();
 
-  inline  ::uint32_t getCounter();
-  inline void setCounter( ::uint32_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
-  inline bool hasSender();
-  inline  ::capnp::Text::Builder getSender();
-  inline void setSender( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSender(unsigned int size);
-  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSender();
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
+  inline bool getChanging();
+  inline void setChanging(bool value);
+
+  inline bool getHasSample();
+  inline void setHasSample(bool value);
+
+  inline bool hasSample();
+  inline  ::citronlug::wire::Position::Builder getSample();
+  inline void setSample( ::citronlug::wire::Position::Reader value);
+  inline  ::citronlug::wire::Position::Builder initSample();
+  inline void adoptSample(::capnp::Orphan< ::citronlug::wire::Position>&& value);
+  inline ::capnp::Orphan< ::citronlug::wire::Position> disownSample();
+
+  inline  ::int64_t getSampleAgeUs();
+  inline void setSampleAgeUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2809,15 +2875,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CellMessageParams::Pipeline {
+class GroupWord::Pipeline {
 public:
-  typedef CellMessageParams Pipelines;
+  typedef GroupWord Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::citronlug::wire::CellMessage::Pipeline getMessage();
+  inline  ::citronlug::wire::Position::Pipeline getSample();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2826,9 +2892,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CellMessageResults::Reader {
+class ReportAnswer::Reader {
 public:
-  typedef CellMessageResults Reads;
+  typedef ReportAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2843,8 +2909,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReplies() const;
-  inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Reader getReplies() const;
+  inline bool getHoldsDuty() const;
+
+  inline  ::uint32_t getInstances() const;
+
+  inline  ::uint64_t getRulesVersion() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+  inline bool hasTokens() const;
+  inline  ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>::Reader getTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2858,9 +2933,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CellMessageResults::Builder {
+class ReportAnswer::Builder {
 public:
-  typedef CellMessageResults Builds;
+  typedef ReportAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2874,12 +2949,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReplies();
-  inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Builder getReplies();
-  inline void setReplies( ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Builder initReplies(unsigned int size);
-  inline void adoptReplies(::capnp::Orphan< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>> disownReplies();
+  inline bool getHoldsDuty();
+  inline void setHoldsDuty(bool value);
+
+  inline  ::uint32_t getInstances();
+  inline void setInstances( ::uint32_t value);
+
+  inline  ::uint64_t getRulesVersion();
+  inline void setRulesVersion( ::uint64_t value);
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>> disownGroups();
+
+  inline bool hasTokens();
+  inline  ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>::Builder getTokens();
+  inline void setTokens( ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>::Builder initTokens(unsigned int size);
+  inline void adoptTokens(::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>> disownTokens();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2891,9 +2982,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CellMessageResults::Pipeline {
+class ReportAnswer::Pipeline {
 public:
-  typedef CellMessageResults Pipelines;
+  typedef ReportAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2907,9 +2998,68 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExecuteParams::Reader {
+#if !CAPNP_LITE
+class Gate::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef ExecuteParams Reads;
+  typedef Gate Calls;
+  typedef Gate Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::citronlug::wire::Gate::ChallengeParams,  ::citronlug::wire::Gate::ChallengeResults> challengeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::citronlug::wire::Gate::EnterParams,  ::citronlug::wire::Gate::EnterResults> enterRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Gate::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Gate Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::citronlug::wire::Gate::ChallengeParams ChallengeParams;
+  typedef  ::citronlug::wire::Gate::ChallengeResults ChallengeResults;
+  typedef ::capnp::CallContext<ChallengeParams, ChallengeResults> ChallengeContext;
+  virtual ::kj::Promise<void> challenge(ChallengeContext context);
+  typedef  ::citronlug::wire::Gate::EnterParams EnterParams;
+  typedef  ::citronlug::wire::Gate::EnterResults EnterResults;
+  typedef ::capnp::CallContext<EnterParams, EnterResults> EnterContext;
+  virtual ::kj::Promise<void> enter(EnterContext context);
+
+  inline  ::citronlug::wire::Gate::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::citronlug::wire::Gate>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Gate::ChallengeParams::Reader {
+public:
+  typedef ChallengeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2924,9 +3074,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::citronlug::wire::Request::Reader getRequest() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2939,9 +3086,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExecuteParams::Builder {
+class Gate::ChallengeParams::Builder {
 public:
-  typedef ExecuteParams Builds;
+  typedef ChallengeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2955,13 +3102,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::citronlug::wire::Request::Builder getRequest();
-  inline void setRequest( ::citronlug::wire::Request::Reader value);
-  inline  ::citronlug::wire::Request::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::citronlug::wire::Request>&& value);
-  inline ::capnp::Orphan< ::citronlug::wire::Request> disownRequest();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2972,15 +3112,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExecuteParams::Pipeline {
+class Gate::ChallengeParams::Pipeline {
 public:
-  typedef ExecuteParams Pipelines;
+  typedef ChallengeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::citronlug::wire::Request::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2989,9 +3128,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExecuteResults::Reader {
+class Gate::ChallengeResults::Reader {
 public:
-  typedef ExecuteResults Reads;
+  typedef ChallengeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3006,8 +3145,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer() const;
-  inline  ::citronlug::wire::Answer::Reader getAnswer() const;
+  inline bool hasNonce() const;
+  inline  ::capnp::Data::Reader getNonce() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3021,9 +3160,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExecuteResults::Builder {
+class Gate::ChallengeResults::Builder {
 public:
-  typedef ExecuteResults Builds;
+  typedef ChallengeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3037,12 +3176,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer();
-  inline  ::citronlug::wire::Answer::Builder getAnswer();
-  inline void setAnswer( ::citronlug::wire::Answer::Reader value);
-  inline  ::citronlug::wire::Answer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::citronlug::wire::Answer>&& value);
-  inline ::capnp::Orphan< ::citronlug::wire::Answer> disownAnswer();
+  inline bool hasNonce();
+  inline  ::capnp::Data::Builder getNonce();
+  inline void setNonce( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initNonce(unsigned int size);
+  inline void adoptNonce(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownNonce();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3054,15 +3193,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExecuteResults::Pipeline {
+class Gate::ChallengeResults::Pipeline {
 public:
-  typedef ExecuteResults Pipelines;
+  typedef ChallengeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::citronlug::wire::Answer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3071,9 +3209,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::TakeGrantParams::Reader {
+class Gate::EnterParams::Reader {
 public:
-  typedef TakeGrantParams Reads;
+  typedef EnterParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3088,12 +3226,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
-
-  inline  ::uint32_t getWanted() const;
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
 
-  inline  ::int64_t getRemainingUs() const;
+  inline bool hasProof() const;
+  inline  ::capnp::Data::Reader getProof() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3107,9 +3244,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::TakeGrantParams::Builder {
+class Gate::EnterParams::Builder {
 public:
-  typedef TakeGrantParams Builds;
+  typedef EnterParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3123,18 +3260,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
-
-  inline  ::uint32_t getWanted();
-  inline void setWanted( ::uint32_t value);
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
 
-  inline  ::int64_t getRemainingUs();
-  inline void setRemainingUs( ::int64_t value);
+  inline bool hasProof();
+  inline  ::capnp::Data::Builder getProof();
+  inline void setProof( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initProof(unsigned int size);
+  inline void adoptProof(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownProof();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3146,9 +3284,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TakeGrantParams::Pipeline {
+class Gate::EnterParams::Pipeline {
 public:
-  typedef TakeGrantParams Pipelines;
+  typedef EnterParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3162,9 +3300,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::TakeGrantResults::Reader {
+class Gate::EnterResults::Reader {
 public:
-  typedef TakeGrantResults Reads;
+  typedef EnterResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3179,11 +3317,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getHeld() const;
-
-  inline  ::uint32_t getTokens() const;
-
-  inline  ::int64_t getWaitUs() const;
+  inline bool hasPeer() const;
+#if !CAPNP_LITE
+  inline  ::citronlug::wire::Peer::Client getPeer() const;
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3197,9 +3334,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::TakeGrantResults::Builder {
+class Gate::EnterResults::Builder {
 public:
-  typedef TakeGrantResults Builds;
+  typedef EnterResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3213,14 +3350,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getHeld();
-  inline void setHeld(bool value);
-
-  inline  ::uint32_t getTokens();
-  inline void setTokens( ::uint32_t value);
-
-  inline  ::int64_t getWaitUs();
-  inline void setWaitUs( ::int64_t value);
+  inline bool hasPeer();
+#if !CAPNP_LITE
+  inline  ::citronlug::wire::Peer::Client getPeer();
+  inline void setPeer( ::citronlug::wire::Peer::Client&& value);
+  inline void setPeer( ::citronlug::wire::Peer::Client& value);
+  inline void adoptPeer(::capnp::Orphan< ::citronlug::wire::Peer>&& value);
+  inline ::capnp::Orphan< ::citronlug::wire::Peer> disownPeer();
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3232,14 +3369,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TakeGrantResults::Pipeline {
+class Gate::EnterResults::Pipeline {
 public:
-  typedef TakeGrantResults Pipelines;
+  typedef EnterResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::citronlug::wire::Peer::Client getPeer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3248,9 +3386,116 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::GiveBackParams::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef GiveBackParams Reads;
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::citronlug::wire::Peer::CellMessageParams,  ::citronlug::wire::Peer::CellMessageResults> cellMessageRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::citronlug::wire::Peer::ExecuteParams,  ::citronlug::wire::Peer::ExecuteResults> executeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::citronlug::wire::Peer::TakeGrantParams,  ::citronlug::wire::Peer::TakeGrantResults> takeGrantRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::citronlug::wire::Peer::GiveBackParams,  ::citronlug::wire::Peer::GiveBackResults> giveBackRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::citronlug::wire::Peer::FetchConfigParams,  ::citronlug::wire::Peer::FetchConfigResults> fetchConfigRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::citronlug::wire::Peer::LocateParams,  ::citronlug::wire::Peer::LocateResults> locateRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::citronlug::wire::Peer::TimelineParams,  ::citronlug::wire::Peer::TimelineResults> timelineRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::citronlug::wire::Peer::PingParams,  ::citronlug::wire::Peer::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::citronlug::wire::Peer::CancelParams,  ::citronlug::wire::Peer::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::citronlug::wire::Peer::ReportParams,  ::citronlug::wire::Peer::ReportResults> reportRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::citronlug::wire::Peer::CellMessageParams CellMessageParams;
+  typedef  ::citronlug::wire::Peer::CellMessageResults CellMessageResults;
+  typedef ::capnp::CallContext<CellMessageParams, CellMessageResults> CellMessageContext;
+  virtual ::kj::Promise<void> cellMessage(CellMessageContext context);
+  typedef  ::citronlug::wire::Peer::ExecuteParams ExecuteParams;
+  typedef  ::citronlug::wire::Peer::ExecuteResults ExecuteResults;
+  typedef ::capnp::CallContext<ExecuteParams, ExecuteResults> ExecuteContext;
+  virtual ::kj::Promise<void> execute(ExecuteContext context);
+  typedef  ::citronlug::wire::Peer::TakeGrantParams TakeGrantParams;
+  typedef  ::citronlug::wire::Peer::TakeGrantResults TakeGrantResults;
+  typedef ::capnp::CallContext<TakeGrantParams, TakeGrantResults> TakeGrantContext;
+  virtual ::kj::Promise<void> takeGrant(TakeGrantContext context);
+  typedef  ::citronlug::wire::Peer::GiveBackParams GiveBackParams;
+  typedef  ::citronlug::wire::Peer::GiveBackResults GiveBackResults;
+  typedef ::capnp::CallContext<GiveBackParams, GiveBackResults> GiveBackContext;
+  virtual ::kj::Promise<void> giveBack(GiveBackContext context);
+  typedef  ::citronlug::wire::Peer::FetchConfigParams FetchConfigParams;
+  typedef  ::citronlug::wire::Peer::FetchConfigResults FetchConfigResults;
+  typedef ::capnp::CallContext<FetchConfigParams, FetchConfigResults> FetchConfigContext;
+  virtual ::kj::Promise<void> fetchConfig(FetchConfigContext context);
+  typedef  ::citronlug::wire::Peer::LocateParams LocateParams;
+  typedef  ::citronlug::wire::Peer::LocateResults LocateResults;
+  typedef ::capnp::CallContext<LocateParams, LocateResults> LocateContext;
+  virtual ::kj::Promise<void> locate(LocateContext context);
+  typedef  ::citronlug::wire::Peer::TimelineParams TimelineParams;
+  typedef  ::citronlug::wire::Peer::TimelineResults TimelineResults;
+  typedef ::capnp::CallContext<TimelineParams, TimelineResults> TimelineContext;
+  virtual ::kj::Promise<void> timeline(TimelineContext context);
+  typedef  ::citronlug::wire::Peer::PingParams PingParams;
+  typedef  ::citronlug::wire::Peer::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
+  typedef  ::citronlug::wire::Peer::CancelParams CancelParams;
+  typedef  ::citronlug::wire::Peer::CancelResults CancelResults;
+  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
+  virtual ::kj::Promise<void> cancel(CancelContext context);
+  typedef  ::citronlug::wire::Peer::ReportParams ReportParams;
+  typedef  ::citronlug::wire::Peer::ReportResults ReportResults;
+  typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
+  virtual ::kj::Promise<void> report(ReportContext context);
+
+  inline  ::citronlug::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::citronlug::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::CellMessageParams::Reader {
+public:
+  typedef CellMessageParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3265,12 +3510,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
+  inline bool hasMessage() const;
+  inline  ::citronlug::wire::CellMessage::Reader getMessage() const;
 
-  inline  ::uint32_t getTokens() const;
+  inline  ::int64_t getWallUs() const;
 
-  inline  ::int64_t getAgeUs() const;
+  inline  ::uint32_t getCounter() const;
+
+  inline bool hasSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3284,9 +3532,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::GiveBackParams::Builder {
+class Peer::CellMessageParams::Builder {
 public:
-  typedef GiveBackParams Builds;
+  typedef CellMessageParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3300,18 +3548,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
-
-  inline  ::uint32_t getTokens();
-  inline void setTokens( ::uint32_t value);
+  inline bool hasMessage();
+  inline  ::citronlug::wire::CellMessage::Builder getMessage();
+  inline void setMessage( ::citronlug::wire::CellMessage::Reader value);
+  inline  ::citronlug::wire::CellMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::citronlug::wire::CellMessage>&& value);
+  inline ::capnp::Orphan< ::citronlug::wire::CellMessage> disownMessage();
 
-  inline  ::int64_t getAgeUs();
-  inline void setAgeUs( ::int64_t value);
+  inline  ::int64_t getWallUs();
+  inline void setWallUs( ::int64_t value);
+
+  inline  ::uint32_t getCounter();
+  inline void setCounter( ::uint32_t value);
+
+  inline bool hasSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3323,14 +3578,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::GiveBackParams::Pipeline {
+class Peer::CellMessageParams::Pipeline {
 public:
-  typedef GiveBackParams Pipelines;
+  typedef CellMessageParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::citronlug::wire::CellMessage::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3339,9 +3595,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::GiveBackResults::Reader {
+class Peer::CellMessageResults::Reader {
 public:
-  typedef GiveBackResults Reads;
+  typedef CellMessageResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3356,6 +3612,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasReplies() const;
+  inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Reader getReplies() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3368,9 +3627,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::GiveBackResults::Builder {
+class Peer::CellMessageResults::Builder {
 public:
-  typedef GiveBackResults Builds;
+  typedef CellMessageResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3384,6 +3643,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasReplies();
+  inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Builder getReplies();
+  inline void setReplies( ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>::Builder initReplies(unsigned int size);
+  inline void adoptReplies(::capnp::Orphan< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::CellMessage,  ::capnp::Kind::STRUCT>> disownReplies();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3394,9 +3660,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::GiveBackResults::Pipeline {
+class Peer::CellMessageResults::Pipeline {
 public:
-  typedef GiveBackResults Pipelines;
+  typedef CellMessageResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3410,9 +3676,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchConfigParams::Reader {
+class Peer::ExecuteParams::Reader {
 public:
-  typedef FetchConfigParams Reads;
+  typedef ExecuteParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3427,7 +3693,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
+  inline bool hasRequest() const;
+  inline  ::citronlug::wire::Request::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3441,9 +3708,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchConfigParams::Builder {
+class Peer::ExecuteParams::Builder {
 public:
-  typedef FetchConfigParams Builds;
+  typedef ExecuteParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3457,8 +3724,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline bool hasRequest();
+  inline  ::citronlug::wire::Request::Builder getRequest();
+  inline void setRequest( ::citronlug::wire::Request::Reader value);
+  inline  ::citronlug::wire::Request::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::citronlug::wire::Request>&& value);
+  inline ::capnp::Orphan< ::citronlug::wire::Request> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3470,14 +3741,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchConfigParams::Pipeline {
+class Peer::ExecuteParams::Pipeline {
 public:
-  typedef FetchConfigParams Pipelines;
+  typedef ExecuteParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::citronlug::wire::Request::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3486,9 +3758,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchConfigResults::Reader {
+class Peer::ExecuteResults::Reader {
 public:
-  typedef FetchConfigResults Reads;
+  typedef ExecuteResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3503,10 +3775,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
-
-  inline bool hasText() const;
-  inline  ::capnp::Text::Reader getText() const;
+  inline bool hasAnswer() const;
+  inline  ::citronlug::wire::Answer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3520,9 +3790,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchConfigResults::Builder {
+class Peer::ExecuteResults::Builder {
 public:
-  typedef FetchConfigResults Builds;
+  typedef ExecuteResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3536,15 +3806,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
-
-  inline bool hasText();
-  inline  ::capnp::Text::Builder getText();
-  inline void setText( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownText();
+  inline bool hasAnswer();
+  inline  ::citronlug::wire::Answer::Builder getAnswer();
+  inline void setAnswer( ::citronlug::wire::Answer::Reader value);
+  inline  ::citronlug::wire::Answer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::citronlug::wire::Answer>&& value);
+  inline ::capnp::Orphan< ::citronlug::wire::Answer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3556,14 +3823,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchConfigResults::Pipeline {
+class Peer::ExecuteResults::Pipeline {
 public:
-  typedef FetchConfigResults Pipelines;
+  typedef ExecuteResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::citronlug::wire::Answer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3572,9 +3840,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::LocateParams::Reader {
+class Peer::TakeGrantParams::Reader {
 public:
-  typedef LocateParams Reads;
+  typedef TakeGrantParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3589,10 +3857,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getKind() const;
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline  ::uint32_t getWanted() const;
+
+  inline  ::int64_t getRemainingUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3606,9 +3876,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::LocateParams::Builder {
+class Peer::TakeGrantParams::Builder {
 public:
-  typedef LocateParams Builds;
+  typedef TakeGrantParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3622,15 +3892,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getKind();
-  inline void setKind( ::uint8_t value);
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
+  inline  ::uint32_t getWanted();
+  inline void setWanted( ::uint32_t value);
+
+  inline  ::int64_t getRemainingUs();
+  inline void setRemainingUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3642,9 +3915,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::LocateParams::Pipeline {
+class Peer::TakeGrantParams::Pipeline {
 public:
-  typedef LocateParams Pipelines;
+  typedef TakeGrantParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3658,9 +3931,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::LocateResults::Reader {
+class Peer::TakeGrantResults::Reader {
 public:
-  typedef LocateResults Reads;
+  typedef TakeGrantResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3675,15 +3948,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound() const;
-
-  inline bool hasInstance() const;
-  inline  ::capnp::Text::Reader getInstance() const;
+  inline bool getHeld() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline  ::uint32_t getTokens() const;
 
-  inline  ::uint64_t getEpoch() const;
+  inline  ::int64_t getWaitUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3697,9 +3966,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::LocateResults::Builder {
+class Peer::TakeGrantResults::Builder {
 public:
-  typedef LocateResults Builds;
+  typedef TakeGrantResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3713,25 +3982,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound();
-  inline void setFound(bool value);
-
-  inline bool hasInstance();
-  inline  ::capnp::Text::Builder getInstance();
-  inline void setInstance( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initInstance(unsigned int size);
-  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+  inline bool getHeld();
+  inline void setHeld(bool value);
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline  ::int64_t getWaitUs();
+  inline void setWaitUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3743,9 +4001,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::LocateResults::Pipeline {
+class Peer::TakeGrantResults::Pipeline {
 public:
-  typedef LocateResults Pipelines;
+  typedef TakeGrantResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3759,9 +4017,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::TimelineParams::Reader {
+class Peer::GiveBackParams::Reader {
 public:
-  typedef TimelineParams Reads;
+  typedef GiveBackParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3776,8 +4034,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFilter() const;
-  inline  ::citronlug::wire::EventFilter::Reader getFilter() const;
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline  ::uint32_t getTokens() const;
+
+  inline  ::int64_t getAgeUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3791,9 +4053,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::TimelineParams::Builder {
+class Peer::GiveBackParams::Builder {
 public:
-  typedef TimelineParams Builds;
+  typedef GiveBackParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3807,12 +4069,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFilter();
-  inline  ::citronlug::wire::EventFilter::Builder getFilter();
-  inline void setFilter( ::citronlug::wire::EventFilter::Reader value);
-  inline  ::citronlug::wire::EventFilter::Builder initFilter();
-  inline void adoptFilter(::capnp::Orphan< ::citronlug::wire::EventFilter>&& value);
-  inline ::capnp::Orphan< ::citronlug::wire::EventFilter> disownFilter();
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3824,15 +4092,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TimelineParams::Pipeline {
+class Peer::GiveBackParams::Pipeline {
 public:
-  typedef TimelineParams Pipelines;
+  typedef GiveBackParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::citronlug::wire::EventFilter::Pipeline getFilter();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3841,9 +4108,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::TimelineResults::Reader {
+class Peer::GiveBackResults::Reader {
 public:
-  typedef TimelineResults Reads;
+  typedef GiveBackResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3858,9 +4125,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEvents() const;
-  inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Reader getEvents() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3873,9 +4137,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::TimelineResults::Builder {
+class Peer::GiveBackResults::Builder {
 public:
-  typedef TimelineResults Builds;
+  typedef GiveBackResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3889,13 +4153,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEvents();
-  inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Builder getEvents();
-  inline void setEvents( ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Builder initEvents(unsigned int size);
-  inline void adoptEvents(::capnp::Orphan< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>> disownEvents();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3906,9 +4163,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::TimelineResults::Pipeline {
+class Peer::GiveBackResults::Pipeline {
 public:
-  typedef TimelineResults Pipelines;
+  typedef GiveBackResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3922,9 +4179,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::PingParams::Reader {
+class Peer::FetchConfigParams::Reader {
 public:
-  typedef PingParams Reads;
+  typedef FetchConfigParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3939,6 +4196,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3951,9 +4210,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PingParams::Builder {
+class Peer::FetchConfigParams::Builder {
 public:
-  typedef PingParams Builds;
+  typedef FetchConfigParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3967,8 +4226,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-private:
-  ::capnp::_::StructBuilder _builder;
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
@@ -3977,9 +4239,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::PingParams::Pipeline {
+class Peer::FetchConfigParams::Pipeline {
 public:
-  typedef PingParams Pipelines;
+  typedef FetchConfigParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3993,9 +4255,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::PingResults::Reader {
+class Peer::FetchConfigResults::Reader {
 public:
-  typedef PingResults Reads;
+  typedef FetchConfigResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4010,7 +4272,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getConfigVersion() const;
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasText() const;
+  inline  ::capnp::Text::Reader getText() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4024,9 +4289,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PingResults::Builder {
+class Peer::FetchConfigResults::Builder {
 public:
-  typedef PingResults Builds;
+  typedef FetchConfigResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4040,8 +4305,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasText();
+  inline  ::capnp::Text::Builder getText();
+  inline void setText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownText();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4053,9 +4325,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::PingResults::Pipeline {
+class Peer::FetchConfigResults::Pipeline {
 public:
-  typedef PingResults Pipelines;
+  typedef FetchConfigResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4069,9 +4341,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CancelParams::Reader {
+class Peer::LocateParams::Reader {
 public:
-  typedef CancelParams Reads;
+  typedef LocateParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4086,14 +4358,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDatabase() const;
-  inline  ::capnp::Text::Reader getDatabase() const;
-
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
+  inline  ::uint8_t getKind() const;
 
-  inline bool hasRequest() const;
-  inline  ::capnp::Text::Reader getRequest() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4107,9 +4375,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CancelParams::Builder {
+class Peer::LocateParams::Builder {
 public:
-  typedef CancelParams Builds;
+  typedef LocateParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4123,26 +4391,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDatabase();
-  inline  ::capnp::Text::Builder getDatabase();
-  inline void setDatabase( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
-  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
-
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
 
-  inline bool hasRequest();
-  inline  ::capnp::Text::Builder getRequest();
-  inline void setRequest( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4154,9 +4411,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CancelParams::Pipeline {
+class Peer::LocateParams::Pipeline {
 public:
-  typedef CancelParams Pipelines;
+  typedef LocateParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4170,9 +4427,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CancelResults::Reader {
+class Peer::LocateResults::Reader {
 public:
-  typedef CancelResults Reads;
+  typedef LocateResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4187,6 +4444,16 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getFound() const;
+
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint64_t getEpoch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4199,9 +4466,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CancelResults::Builder {
+class Peer::LocateResults::Builder {
 public:
-  typedef CancelResults Builds;
+  typedef LocateResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4215,6 +4482,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getFound();
+  inline void setFound(bool value);
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4225,9 +4512,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CancelResults::Pipeline {
+class Peer::LocateResults::Pipeline {
 public:
-  typedef CancelResults Pipelines;
+  typedef LocateResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4241,2220 +4528,3522 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::TimelineParams::Reader {
+public:
+  typedef TimelineParams Reads;
 
-inline bool Heartbeat::Reader::hasFrom() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Heartbeat::Builder::hasFrom() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Heartbeat::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Heartbeat::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Heartbeat::Builder::setFrom( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Heartbeat::Builder::initFrom(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Heartbeat::Builder::adoptFrom(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t Heartbeat::Reader::getRun() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t Heartbeat::Builder::getRun() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setRun( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t Heartbeat::Reader::getTableVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  inline bool hasFilter() const;
+  inline  ::citronlug::wire::EventFilter::Reader getFilter() const;
 
-inline  ::uint64_t Heartbeat::Builder::getTableVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setTableVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint64_t Heartbeat::Reader::getRecordVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+class Peer::TimelineParams::Builder {
+public:
+  typedef TimelineParams Builds;
 
-inline  ::uint64_t Heartbeat::Builder::getRecordVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setRecordVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::uint64_t Heartbeat::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t Heartbeat::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasFilter();
+  inline  ::citronlug::wire::EventFilter::Builder getFilter();
+  inline void setFilter( ::citronlug::wire::EventFilter::Reader value);
+  inline  ::citronlug::wire::EventFilter::Builder initFilter();
+  inline void adoptFilter(::capnp::Orphan< ::citronlug::wire::EventFilter>&& value);
+  inline ::capnp::Orphan< ::citronlug::wire::EventFilter> disownFilter();
 
-inline  ::uint64_t Heartbeat::Reader::getCall() const {
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::TimelineParams::Pipeline {
+public:
+  typedef TimelineParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::citronlug::wire::EventFilter::Pipeline getFilter();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::TimelineResults::Reader {
+public:
+  typedef TimelineResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEvents() const;
+  inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Reader getEvents() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::TimelineResults::Builder {
+public:
+  typedef TimelineResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEvents();
+  inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Builder getEvents();
+  inline void setEvents( ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>::Builder initEvents(unsigned int size);
+  inline void adoptEvents(::capnp::Orphan< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Event,  ::capnp::Kind::STRUCT>> disownEvents();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::TimelineResults::Pipeline {
+public:
+  typedef TimelineResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PingParams::Reader {
+public:
+  typedef PingParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PingParams::Builder {
+public:
+  typedef PingParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PingParams::Pipeline {
+public:
+  typedef PingParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PingResults::Reader {
+public:
+  typedef PingResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getConfigVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PingResults::Builder {
+public:
+  typedef PingResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PingResults::Pipeline {
+public:
+  typedef PingResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::CancelParams::Reader {
+public:
+  typedef CancelParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDatabase() const;
+  inline  ::capnp::Text::Reader getDatabase() const;
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::CancelParams::Builder {
+public:
+  typedef CancelParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDatabase();
+  inline  ::capnp::Text::Builder getDatabase();
+  inline void setDatabase( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDatabase(unsigned int size);
+  inline void adoptDatabase(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDatabase();
+
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::CancelParams::Pipeline {
+public:
+  typedef CancelParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::CancelResults::Reader {
+public:
+  typedef CancelResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::CancelResults::Builder {
+public:
+  typedef CancelResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::CancelResults::Pipeline {
+public:
+  typedef CancelResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ReportParams::Reader {
+public:
+  typedef ReportParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::citronlug::wire::InstanceReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReportParams::Builder {
+public:
+  typedef ReportParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::citronlug::wire::InstanceReport::Builder getReport();
+  inline void setReport( ::citronlug::wire::InstanceReport::Reader value);
+  inline  ::citronlug::wire::InstanceReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::citronlug::wire::InstanceReport>&& value);
+  inline ::capnp::Orphan< ::citronlug::wire::InstanceReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ReportParams::Pipeline {
+public:
+  typedef ReportParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::citronlug::wire::InstanceReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ReportResults::Reader {
+public:
+  typedef ReportResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAnswer() const;
+  inline  ::citronlug::wire::ReportAnswer::Reader getAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReportResults::Builder {
+public:
+  typedef ReportResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAnswer();
+  inline  ::citronlug::wire::ReportAnswer::Builder getAnswer();
+  inline void setAnswer( ::citronlug::wire::ReportAnswer::Reader value);
+  inline  ::citronlug::wire::ReportAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::citronlug::wire::ReportAnswer>&& value);
+  inline ::capnp::Orphan< ::citronlug::wire::ReportAnswer> disownAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ReportResults::Pipeline {
+public:
+  typedef ReportResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::citronlug::wire::ReportAnswer::Pipeline getAnswer();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Heartbeat::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Heartbeat::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Heartbeat::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getTableVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getTableVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setTableVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getRecordVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getRecordVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setRecordVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getCall() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getCall() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setCall( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PromiseRequest::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PromiseRequest::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PromiseRequest::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PromiseRequest::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PromiseRequest::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PromiseRequest::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PromiseRequest::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PromiseRequest::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PromiseRequest::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromiseRequest::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PromiseRequest::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PromiseRequest::Reader::getTableVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromiseRequest::Builder::getTableVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PromiseRequest::Builder::setTableVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PromiseRequest::Reader::getCall() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromiseRequest::Builder::getCall() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PromiseRequest::Builder::setCall( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PromiseRequest::Reader::hasSubject() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PromiseRequest::Builder::hasSubject() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PromiseRequest::Reader::getSubject() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PromiseRequest::Builder::getSubject() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PromiseRequest::Builder::setSubject( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PromiseRequest::Builder::initSubject(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PromiseRequest::Builder::adoptSubject(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PromiseRequest::Builder::disownSubject() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PromiseRequest::Reader::getSubjectRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromiseRequest::Builder::getSubjectRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PromiseRequest::Builder::setSubjectRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Confirmation::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Confirmation::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Confirmation::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Confirmation::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Confirmation::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Confirmation::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Confirmation::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Confirmation::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Confirmation::Reader::getCall() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Confirmation::Builder::getCall() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Confirmation::Builder::setCall( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Confirmation::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Confirmation::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Confirmation::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TableRequest::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TableRequest::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TableRequest::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TableRequest::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TableRequest::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TableRequest::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TableRequest::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TableRequest::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TableRequest::Reader::getTableVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TableRequest::Builder::getTableVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TableRequest::Builder::setTableVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TableRequest::Reader::getCall() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TableRequest::Builder::getCall() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TableRequest::Builder::setCall( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RecordRequest::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordRequest::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RecordRequest::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RecordRequest::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RecordRequest::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RecordRequest::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RecordRequest::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RecordRequest::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RecordRequest::Reader::getCall() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RecordRequest::Builder::getCall() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RecordRequest::Builder::setCall( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RecordAnswer::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordAnswer::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RecordAnswer::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RecordAnswer::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RecordAnswer::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RecordAnswer::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RecordAnswer::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RecordAnswer::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RecordAnswer::Reader::getCall() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RecordAnswer::Builder::getCall() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RecordAnswer::Builder::setCall( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RecordAnswer::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RecordAnswer::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RecordAnswer::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RecordAnswer::Reader::hasText() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordAnswer::Builder::hasText() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RecordAnswer::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RecordAnswer::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RecordAnswer::Builder::setText( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RecordAnswer::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RecordAnswer::Builder::adoptText(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RecordAnswer::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::citronlug::wire::CellMessage::Which CellMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::citronlug::wire::CellMessage::Which CellMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool CellMessage::Reader::isHeartbeat() const {
+  return which() == CellMessage::HEARTBEAT;
+}
+inline bool CellMessage::Builder::isHeartbeat() {
+  return which() == CellMessage::HEARTBEAT;
+}
+inline bool CellMessage::Reader::hasHeartbeat() const {
+  if (which() != CellMessage::HEARTBEAT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CellMessage::Builder::hasHeartbeat() {
+  if (which() != CellMessage::HEARTBEAT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citronlug::wire::Heartbeat::Reader CellMessage::Reader::getHeartbeat() const {
+  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::citronlug::wire::Heartbeat::Builder CellMessage::Builder::getHeartbeat() {
+  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CellMessage::Builder::setHeartbeat( ::citronlug::wire::Heartbeat::Reader value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::citronlug::wire::Heartbeat::Builder CellMessage::Builder::initHeartbeat() {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT);
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CellMessage::Builder::adoptHeartbeat(
+    ::capnp::Orphan< ::citronlug::wire::Heartbeat>&& value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citronlug::wire::Heartbeat> CellMessage::Builder::disownHeartbeat() {
+  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CellMessage::Reader::isHeartbeatAnswer() const {
+  return which() == CellMessage::HEARTBEAT_ANSWER;
+}
+inline bool CellMessage::Builder::isHeartbeatAnswer() {
+  return which() == CellMessage::HEARTBEAT_ANSWER;
+}
+inline bool CellMessage::Reader::hasHeartbeatAnswer() const {
+  if (which() != CellMessage::HEARTBEAT_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CellMessage::Builder::hasHeartbeatAnswer() {
+  if (which() != CellMessage::HEARTBEAT_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citronlug::wire::Heartbeat::Reader CellMessage::Reader::getHeartbeatAnswer() const {
+  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::citronlug::wire::Heartbeat::Builder CellMessage::Builder::getHeartbeatAnswer() {
+  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CellMessage::Builder::setHeartbeatAnswer( ::citronlug::wire::Heartbeat::Reader value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT_ANSWER);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::citronlug::wire::Heartbeat::Builder CellMessage::Builder::initHeartbeatAnswer() {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT_ANSWER);
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CellMessage::Builder::adoptHeartbeatAnswer(
+    ::capnp::Orphan< ::citronlug::wire::Heartbeat>&& value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT_ANSWER);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citronlug::wire::Heartbeat> CellMessage::Builder::disownHeartbeatAnswer() {
+  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CellMessage::Reader::isPromiseRequest() const {
+  return which() == CellMessage::PROMISE_REQUEST;
+}
+inline bool CellMessage::Builder::isPromiseRequest() {
+  return which() == CellMessage::PROMISE_REQUEST;
+}
+inline bool CellMessage::Reader::hasPromiseRequest() const {
+  if (which() != CellMessage::PROMISE_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CellMessage::Builder::hasPromiseRequest() {
+  if (which() != CellMessage::PROMISE_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citronlug::wire::PromiseRequest::Reader CellMessage::Reader::getPromiseRequest() const {
+  KJ_IREQUIRE((which() == CellMessage::PROMISE_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::citronlug::wire::PromiseRequest::Builder CellMessage::Builder::getPromiseRequest() {
+  KJ_IREQUIRE((which() == CellMessage::PROMISE_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CellMessage::Builder::setPromiseRequest( ::citronlug::wire::PromiseRequest::Reader value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_REQUEST);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::citronlug::wire::PromiseRequest::Builder CellMessage::Builder::initPromiseRequest() {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_REQUEST);
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CellMessage::Builder::adoptPromiseRequest(
+    ::capnp::Orphan< ::citronlug::wire::PromiseRequest>&& value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_REQUEST);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citronlug::wire::PromiseRequest> CellMessage::Builder::disownPromiseRequest() {
+  KJ_IREQUIRE((which() == CellMessage::PROMISE_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CellMessage::Reader::isPromiseAnswer() const {
+  return which() == CellMessage::PROMISE_ANSWER;
+}
+inline bool CellMessage::Builder::isPromiseAnswer() {
+  return which() == CellMessage::PROMISE_ANSWER;
+}
+inline bool CellMessage::Reader::hasPromiseAnswer() const {
+  if (which() != CellMessage::PROMISE_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Heartbeat::Builder::getCall() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool CellMessage::Builder::hasPromiseAnswer() {
+  if (which() != CellMessage::PROMISE_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Heartbeat::Builder::setCall( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline  ::citronlug::wire::Confirmation::Reader CellMessage::Reader::getPromiseAnswer() const {
+  KJ_IREQUIRE((which() == CellMessage::PROMISE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool Heartbeat::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+inline  ::citronlug::wire::Confirmation::Builder CellMessage::Builder::getPromiseAnswer() {
+  KJ_IREQUIRE((which() == CellMessage::PROMISE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool Heartbeat::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+inline void CellMessage::Builder::setPromiseAnswer( ::citronlug::wire::Confirmation::Reader value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_ANSWER);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Heartbeat::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<320>() * ::capnp::ELEMENTS, value);
+inline  ::citronlug::wire::Confirmation::Builder CellMessage::Builder::initPromiseAnswer() {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_ANSWER);
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CellMessage::Builder::adoptPromiseAnswer(
+    ::capnp::Orphan< ::citronlug::wire::Confirmation>&& value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_ANSWER);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citronlug::wire::Confirmation> CellMessage::Builder::disownPromiseAnswer() {
+  KJ_IREQUIRE((which() == CellMessage::PROMISE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PromiseRequest::Reader::hasFrom() const {
+inline bool CellMessage::Reader::isTableRequest() const {
+  return which() == CellMessage::TABLE_REQUEST;
+}
+inline bool CellMessage::Builder::isTableRequest() {
+  return which() == CellMessage::TABLE_REQUEST;
+}
+inline bool CellMessage::Reader::hasTableRequest() const {
+  if (which() != CellMessage::TABLE_REQUEST) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PromiseRequest::Builder::hasFrom() {
+inline bool CellMessage::Builder::hasTableRequest() {
+  if (which() != CellMessage::TABLE_REQUEST) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PromiseRequest::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::citronlug::wire::TableRequest::Reader CellMessage::Reader::getTableRequest() const {
+  KJ_IREQUIRE((which() == CellMessage::TABLE_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PromiseRequest::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::citronlug::wire::TableRequest::Builder CellMessage::Builder::getTableRequest() {
+  KJ_IREQUIRE((which() == CellMessage::TABLE_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PromiseRequest::Builder::setFrom( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void CellMessage::Builder::setTableRequest( ::citronlug::wire::TableRequest::Reader value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_REQUEST);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PromiseRequest::Builder::initFrom(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::citronlug::wire::TableRequest::Builder CellMessage::Builder::initTableRequest() {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_REQUEST);
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PromiseRequest::Builder::adoptFrom(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void CellMessage::Builder::adoptTableRequest(
+    ::capnp::Orphan< ::citronlug::wire::TableRequest>&& value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_REQUEST);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PromiseRequest::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::citronlug::wire::TableRequest> CellMessage::Builder::disownTableRequest() {
+  KJ_IREQUIRE((which() == CellMessage::TABLE_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PromiseRequest::Reader::getRun() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool CellMessage::Reader::isTableAnswer() const {
+  return which() == CellMessage::TABLE_ANSWER;
 }
-
-inline  ::uint64_t PromiseRequest::Builder::getRun() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool CellMessage::Builder::isTableAnswer() {
+  return which() == CellMessage::TABLE_ANSWER;
 }
-inline void PromiseRequest::Builder::setRun( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool CellMessage::Reader::hasTableAnswer() const {
+  if (which() != CellMessage::TABLE_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t PromiseRequest::Reader::getTableVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool CellMessage::Builder::hasTableAnswer() {
+  if (which() != CellMessage::TABLE_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t PromiseRequest::Builder::getTableVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::citronlug::wire::Confirmation::Reader CellMessage::Reader::getTableAnswer() const {
+  KJ_IREQUIRE((which() == CellMessage::TABLE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PromiseRequest::Builder::setTableVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::citronlug::wire::Confirmation::Builder CellMessage::Builder::getTableAnswer() {
+  KJ_IREQUIRE((which() == CellMessage::TABLE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t PromiseRequest::Reader::getCall() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void CellMessage::Builder::setTableAnswer( ::citronlug::wire::Confirmation::Reader value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_ANSWER);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t PromiseRequest::Builder::getCall() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::citronlug::wire::Confirmation::Builder CellMessage::Builder::initTableAnswer() {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_ANSWER);
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PromiseRequest::Builder::setCall( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void CellMessage::Builder::adoptTableAnswer(
+    ::capnp::Orphan< ::citronlug::wire::Confirmation>&& value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_ANSWER);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citronlug::wire::Confirmation> CellMessage::Builder::disownTableAnswer() {
+  KJ_IREQUIRE((which() == CellMessage::TABLE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PromiseRequest::Reader::hasSubject() const {
+inline bool CellMessage::Reader::isRecordRequest() const {
+  return which() == CellMessage::RECORD_REQUEST;
+}
+inline bool CellMessage::Builder::isRecordRequest() {
+  return which() == CellMessage::RECORD_REQUEST;
+}
+inline bool CellMessage::Reader::hasRecordRequest() const {
+  if (which() != CellMessage::RECORD_REQUEST) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PromiseRequest::Builder::hasSubject() {
+inline bool CellMessage::Builder::hasRecordRequest() {
+  if (which() != CellMessage::RECORD_REQUEST) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PromiseRequest::Reader::getSubject() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder PromiseRequest::Builder::getSubject() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::citronlug::wire::RecordRequest::Reader CellMessage::Reader::getRecordRequest() const {
+  KJ_IREQUIRE((which() == CellMessage::RECORD_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PromiseRequest::Builder::setSubject( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::citronlug::wire::RecordRequest::Builder CellMessage::Builder::getRecordRequest() {
+  KJ_IREQUIRE((which() == CellMessage::RECORD_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PromiseRequest::Builder::initSubject(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void CellMessage::Builder::setRecordRequest( ::citronlug::wire::RecordRequest::Reader value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_REQUEST);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void PromiseRequest::Builder::adoptSubject(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::citronlug::wire::RecordRequest::Builder CellMessage::Builder::initRecordRequest() {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_REQUEST);
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> PromiseRequest::Builder::disownSubject() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void CellMessage::Builder::adoptRecordRequest(
+    ::capnp::Orphan< ::citronlug::wire::RecordRequest>&& value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_REQUEST);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint64_t PromiseRequest::Reader::getSubjectRun() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::citronlug::wire::RecordRequest> CellMessage::Builder::disownRecordRequest() {
+  KJ_IREQUIRE((which() == CellMessage::RECORD_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PromiseRequest::Builder::getSubjectRun() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool CellMessage::Reader::isRecordAnswer() const {
+  return which() == CellMessage::RECORD_ANSWER;
 }
-inline void PromiseRequest::Builder::setSubjectRun( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool CellMessage::Builder::isRecordAnswer() {
+  return which() == CellMessage::RECORD_ANSWER;
 }
-
-inline bool Confirmation::Reader::hasFrom() const {
+inline bool CellMessage::Reader::hasRecordAnswer() const {
+  if (which() != CellMessage::RECORD_ANSWER) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Confirmation::Builder::hasFrom() {
+inline bool CellMessage::Builder::hasRecordAnswer() {
+  if (which() != CellMessage::RECORD_ANSWER) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Confirmation::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::citronlug::wire::RecordAnswer::Reader CellMessage::Reader::getRecordAnswer() const {
+  KJ_IREQUIRE((which() == CellMessage::RECORD_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Confirmation::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::citronlug::wire::RecordAnswer::Builder CellMessage::Builder::getRecordAnswer() {
+  KJ_IREQUIRE((which() == CellMessage::RECORD_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Confirmation::Builder::setFrom( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void CellMessage::Builder::setRecordAnswer( ::citronlug::wire::RecordAnswer::Reader value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_ANSWER);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Confirmation::Builder::initFrom(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::citronlug::wire::RecordAnswer::Builder CellMessage::Builder::initRecordAnswer() {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_ANSWER);
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Confirmation::Builder::adoptFrom(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void CellMessage::Builder::adoptRecordAnswer(
+    ::capnp::Orphan< ::citronlug::wire::RecordAnswer>&& value) {
+  _builder.setDataField<CellMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_ANSWER);
+  ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Confirmation::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::citronlug::wire::RecordAnswer> CellMessage::Builder::disownRecordAnswer() {
+  KJ_IREQUIRE((which() == CellMessage::RECORD_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Confirmation::Reader::getCall() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::citronlug::wire::Value::Which Value::Reader::which() const {
+  return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-
-inline  ::uint64_t Confirmation::Builder::getCall() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::citronlug::wire::Value::Which Value::Builder::which() {
+  return _builder.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Confirmation::Builder::setCall( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
 
-inline bool Confirmation::Reader::getGranted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Value::Reader::isNull() const {
+  return which() == Value::NULL_;
+}
+inline bool Value::Builder::isNull() {
+  return which() == Value::NULL_;
+}
+inline  ::capnp::Void Value::Reader::getNull() const {
+  KJ_IREQUIRE((which() == Value::NULL_),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Confirmation::Builder::getGranted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::capnp::Void Value::Builder::getNull() {
+  KJ_IREQUIRE((which() == Value::NULL_),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Confirmation::Builder::setGranted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void Value::Builder::setNull( ::capnp::Void value) {
+  _builder.setDataField<Value::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Value::NULL_);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TableRequest::Reader::hasFrom() const {
+inline bool Value::Reader::isText() const {
+  return which() == Value::TEXT;
+}
+inline bool Value::Builder::isText() {
+  return which() == Value::TEXT;
+}
+inline bool Value::Reader::hasText() const {
+  if (which() != Value::TEXT) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TableRequest::Builder::hasFrom() {
+inline bool Value::Builder::hasText() {
+  if (which() != Value::TEXT) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TableRequest::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader Value::Reader::getText() const {
+  KJ_IREQUIRE((which() == Value::TEXT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TableRequest::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder Value::Builder::getText() {
+  KJ_IREQUIRE((which() == Value::TEXT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TableRequest::Builder::setFrom( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Value::Builder::setText( ::capnp::Data::Reader value) {
+  _builder.setDataField<Value::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Value::TEXT);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TableRequest::Builder::initFrom(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder Value::Builder::initText(unsigned int size) {
+  _builder.setDataField<Value::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Value::TEXT);
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void TableRequest::Builder::adoptFrom(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Value::Builder::adoptText(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  _builder.setDataField<Value::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Value::TEXT);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TableRequest::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> Value::Builder::disownText() {
+  KJ_IREQUIRE((which() == Value::TEXT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t TableRequest::Reader::getTableVersion() const {
+inline  ::uint64_t Position::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TableRequest::Builder::getTableVersion() {
+inline  ::uint64_t Position::Builder::getTerm() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TableRequest::Builder::setTableVersion( ::uint64_t value) {
+inline void Position::Builder::setTerm( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TableRequest::Reader::getCall() const {
+inline  ::uint64_t Position::Reader::getLog() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TableRequest::Builder::getCall() {
+inline  ::uint64_t Position::Builder::getLog() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void TableRequest::Builder::setCall( ::uint64_t value) {
+inline void Position::Builder::setLog( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RecordRequest::Reader::hasFrom() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool RecordRequest::Builder::hasFrom() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader RecordRequest::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder RecordRequest::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void RecordRequest::Builder::setFrom( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder RecordRequest::Builder::initFrom(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void RecordRequest::Builder::adoptFrom(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> RecordRequest::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t RecordRequest::Reader::getCall() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t RecordRequest::Builder::getCall() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void RecordRequest::Builder::setCall( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool RecordAnswer::Reader::hasFrom() const {
+inline bool Request::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RecordAnswer::Builder::hasFrom() {
+inline bool Request::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RecordAnswer::Reader::getFrom() const {
+inline  ::capnp::Text::Reader Request::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RecordAnswer::Builder::getFrom() {
+inline  ::capnp::Text::Builder Request::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RecordAnswer::Builder::setFrom( ::capnp::Text::Reader value) {
+inline void Request::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RecordAnswer::Builder::initFrom(unsigned int size) {
+inline  ::capnp::Text::Builder Request::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RecordAnswer::Builder::adoptFrom(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> RecordAnswer::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t RecordAnswer::Reader::getCall() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t RecordAnswer::Builder::getCall() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void RecordAnswer::Builder::setCall( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t RecordAnswer::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t RecordAnswer::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Request::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RecordAnswer::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RecordAnswer::Reader::hasText() const {
+inline bool Request::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RecordAnswer::Builder::hasText() {
+inline bool Request::Builder::hasAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RecordAnswer::Reader::getText() const {
+inline  ::capnp::Text::Reader Request::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RecordAnswer::Builder::getText() {
+inline  ::capnp::Text::Builder Request::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RecordAnswer::Builder::setText( ::capnp::Text::Reader value) {
+inline void Request::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RecordAnswer::Builder::initText(unsigned int size) {
+inline  ::capnp::Text::Builder Request::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RecordAnswer::Builder::adoptText(
+inline void Request::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RecordAnswer::Builder::disownText() {
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::citronlug::wire::CellMessage::Which CellMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::citronlug::wire::CellMessage::Which CellMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool CellMessage::Reader::isHeartbeat() const {
-  return which() == CellMessage::HEARTBEAT;
-}
-inline bool CellMessage::Builder::isHeartbeat() {
-  return which() == CellMessage::HEARTBEAT;
-}
-inline bool CellMessage::Reader::hasHeartbeat() const {
-  if (which() != CellMessage::HEARTBEAT) return false;
+inline bool Request::Reader::hasKey() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool CellMessage::Builder::hasHeartbeat() {
-  if (which() != CellMessage::HEARTBEAT) return false;
+inline bool Request::Builder::hasKey() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::citronlug::wire::Heartbeat::Reader CellMessage::Reader::getHeartbeat() const {
-  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::citronlug::wire::Heartbeat::Builder CellMessage::Builder::getHeartbeat() {
-  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void CellMessage::Builder::setHeartbeat( ::citronlug::wire::Heartbeat::Reader value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::citronlug::wire::Heartbeat::Builder CellMessage::Builder::initHeartbeat() {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT);
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void CellMessage::Builder::adoptHeartbeat(
-    ::capnp::Orphan< ::citronlug::wire::Heartbeat>&& value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::citronlug::wire::Heartbeat> CellMessage::Builder::disownHeartbeat() {
-  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool CellMessage::Reader::isHeartbeatAnswer() const {
-  return which() == CellMessage::HEARTBEAT_ANSWER;
-}
-inline bool CellMessage::Builder::isHeartbeatAnswer() {
-  return which() == CellMessage::HEARTBEAT_ANSWER;
-}
-inline bool CellMessage::Reader::hasHeartbeatAnswer() const {
-  if (which() != CellMessage::HEARTBEAT_ANSWER) return false;
+inline bool Request::Reader::hasRoute() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool CellMessage::Builder::hasHeartbeatAnswer() {
-  if (which() != CellMessage::HEARTBEAT_ANSWER) return false;
+inline bool Request::Builder::hasRoute() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::citronlug::wire::Heartbeat::Reader CellMessage::Reader::getHeartbeatAnswer() const {
-  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::citronlug::wire::Heartbeat::Builder CellMessage::Builder::getHeartbeatAnswer() {
-  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void CellMessage::Builder::setHeartbeatAnswer( ::citronlug::wire::Heartbeat::Reader value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT_ANSWER);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::citronlug::wire::Heartbeat::Builder CellMessage::Builder::initHeartbeatAnswer() {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT_ANSWER);
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void CellMessage::Builder::adoptHeartbeatAnswer(
-    ::capnp::Orphan< ::citronlug::wire::Heartbeat>&& value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::HEARTBEAT_ANSWER);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::citronlug::wire::Heartbeat> CellMessage::Builder::disownHeartbeatAnswer() {
-  KJ_IREQUIRE((which() == CellMessage::HEARTBEAT_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Heartbeat>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool CellMessage::Reader::isPromiseRequest() const {
-  return which() == CellMessage::PROMISE_REQUEST;
-}
-inline bool CellMessage::Builder::isPromiseRequest() {
-  return which() == CellMessage::PROMISE_REQUEST;
-}
-inline bool CellMessage::Reader::hasPromiseRequest() const {
-  if (which() != CellMessage::PROMISE_REQUEST) return false;
+inline bool Request::Reader::hasDatabase() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool CellMessage::Builder::hasPromiseRequest() {
-  if (which() != CellMessage::PROMISE_REQUEST) return false;
+inline bool Request::Builder::hasDatabase() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::citronlug::wire::PromiseRequest::Reader CellMessage::Reader::getPromiseRequest() const {
-  KJ_IREQUIRE((which() == CellMessage::PROMISE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::citronlug::wire::PromiseRequest::Builder CellMessage::Builder::getPromiseRequest() {
-  KJ_IREQUIRE((which() == CellMessage::PROMISE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void CellMessage::Builder::setPromiseRequest( ::citronlug::wire::PromiseRequest::Reader value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_REQUEST);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::citronlug::wire::PromiseRequest::Builder CellMessage::Builder::initPromiseRequest() {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_REQUEST);
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void CellMessage::Builder::adoptPromiseRequest(
-    ::capnp::Orphan< ::citronlug::wire::PromiseRequest>&& value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_REQUEST);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::citronlug::wire::PromiseRequest> CellMessage::Builder::disownPromiseRequest() {
-  KJ_IREQUIRE((which() == CellMessage::PROMISE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::PromiseRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool CellMessage::Reader::isPromiseAnswer() const {
-  return which() == CellMessage::PROMISE_ANSWER;
-}
-inline bool CellMessage::Builder::isPromiseAnswer() {
-  return which() == CellMessage::PROMISE_ANSWER;
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool CellMessage::Reader::hasPromiseAnswer() const {
-  if (which() != CellMessage::PROMISE_ANSWER) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::capnp::Text::Reader Request::Reader::getDatabase() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline bool CellMessage::Builder::hasPromiseAnswer() {
-  if (which() != CellMessage::PROMISE_ANSWER) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::capnp::Text::Builder Request::Builder::getDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::citronlug::wire::Confirmation::Reader CellMessage::Reader::getPromiseAnswer() const {
-  KJ_IREQUIRE((which() == CellMessage::PROMISE_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Request::Builder::setDatabase( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::citronlug::wire::Confirmation::Builder CellMessage::Builder::getPromiseAnswer() {
-  KJ_IREQUIRE((which() == CellMessage::PROMISE_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::initDatabase(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void CellMessage::Builder::setPromiseAnswer( ::citronlug::wire::Confirmation::Reader value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_ANSWER);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Request::Builder::adoptDatabase(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::citronlug::wire::Confirmation::Builder CellMessage::Builder::initPromiseAnswer() {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_ANSWER);
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void CellMessage::Builder::adoptPromiseAnswer(
-    ::capnp::Orphan< ::citronlug::wire::Confirmation>&& value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::PROMISE_ANSWER);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint8_t Request::Reader::getMode() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::citronlug::wire::Confirmation> CellMessage::Builder::disownPromiseAnswer() {
-  KJ_IREQUIRE((which() == CellMessage::PROMISE_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint8_t Request::Builder::getMode() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setMode( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CellMessage::Reader::isTableRequest() const {
-  return which() == CellMessage::TABLE_REQUEST;
+inline bool Request::Reader::getIdempotent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline bool CellMessage::Builder::isTableRequest() {
-  return which() == CellMessage::TABLE_REQUEST;
+
+inline bool Request::Builder::getIdempotent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline bool CellMessage::Reader::hasTableRequest() const {
-  if (which() != CellMessage::TABLE_REQUEST) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline void Request::Builder::setIdempotent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
-inline bool CellMessage::Builder::hasTableRequest() {
-  if (which() != CellMessage::TABLE_REQUEST) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint8_t Request::Reader::getAck() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::citronlug::wire::TableRequest::Reader CellMessage::Reader::getTableRequest() const {
-  KJ_IREQUIRE((which() == CellMessage::TABLE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint8_t Request::Builder::getAck() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::citronlug::wire::TableRequest::Builder CellMessage::Builder::getTableRequest() {
-  KJ_IREQUIRE((which() == CellMessage::TABLE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Request::Builder::setAck( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline void CellMessage::Builder::setTableRequest( ::citronlug::wire::TableRequest::Reader value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_REQUEST);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::int64_t Request::Reader::getRemainingUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::citronlug::wire::TableRequest::Builder CellMessage::Builder::initTableRequest() {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_REQUEST);
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::int64_t Request::Builder::getRemainingUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CellMessage::Builder::adoptTableRequest(
-    ::capnp::Orphan< ::citronlug::wire::TableRequest>&& value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_REQUEST);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::setRemainingUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::citronlug::wire::TableRequest> CellMessage::Builder::disownTableRequest() {
-  KJ_IREQUIRE((which() == CellMessage::TABLE_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::TableRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool Request::Reader::getHasSession() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline bool CellMessage::Reader::isTableAnswer() const {
-  return which() == CellMessage::TABLE_ANSWER;
+inline bool Request::Builder::getHasSession() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline bool CellMessage::Builder::isTableAnswer() {
-  return which() == CellMessage::TABLE_ANSWER;
+inline void Request::Builder::setHasSession(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
-inline bool CellMessage::Reader::hasTableAnswer() const {
-  if (which() != CellMessage::TABLE_ANSWER) return false;
+
+inline bool Request::Reader::hasSession() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool CellMessage::Builder::hasTableAnswer() {
-  if (which() != CellMessage::TABLE_ANSWER) return false;
+inline bool Request::Builder::hasSession() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::citronlug::wire::Confirmation::Reader CellMessage::Reader::getTableAnswer() const {
-  KJ_IREQUIRE((which() == CellMessage::TABLE_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::citronlug::wire::Position::Reader Request::Reader::getSession() const {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::citronlug::wire::Confirmation::Builder CellMessage::Builder::getTableAnswer() {
-  KJ_IREQUIRE((which() == CellMessage::TABLE_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::citronlug::wire::Position::Builder Request::Builder::getSession() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void CellMessage::Builder::setTableAnswer( ::citronlug::wire::Confirmation::Reader value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_ANSWER);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::citronlug::wire::Position::Pipeline Request::Pipeline::getSession() {
+  return  ::citronlug::wire::Position::Pipeline(_typeless.getPointerField(5));
 }
-inline  ::citronlug::wire::Confirmation::Builder CellMessage::Builder::initTableAnswer() {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_ANSWER);
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void Request::Builder::setSession( ::citronlug::wire::Position::Reader value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline void CellMessage::Builder::adoptTableAnswer(
-    ::capnp::Orphan< ::citronlug::wire::Confirmation>&& value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::TABLE_ANSWER);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::citronlug::wire::Position::Builder Request::Builder::initSession() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::citronlug::wire::Confirmation> CellMessage::Builder::disownTableAnswer() {
-  KJ_IREQUIRE((which() == CellMessage::TABLE_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Confirmation>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Request::Builder::adoptSession(
+    ::capnp::Orphan< ::citronlug::wire::Position>&& value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citronlug::wire::Position> Request::Builder::disownSession() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool CellMessage::Reader::isRecordRequest() const {
-  return which() == CellMessage::RECORD_REQUEST;
