+inline  ::int64_t Request::Reader::getMaxAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool CellMessage::Builder::isRecordRequest() {
-  return which() == CellMessage::RECORD_REQUEST;
+
+inline  ::int64_t Request::Builder::getMaxAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool CellMessage::Reader::hasRecordRequest() const {
-  if (which() != CellMessage::RECORD_REQUEST) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline void Request::Builder::setMaxAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline bool CellMessage::Builder::hasRecordRequest() {
-  if (which() != CellMessage::RECORD_REQUEST) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint8_t Request::Reader::getStep() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::citronlug::wire::RecordRequest::Reader CellMessage::Reader::getRecordRequest() const {
-  KJ_IREQUIRE((which() == CellMessage::RECORD_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint8_t Request::Builder::getStep() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::citronlug::wire::RecordRequest::Builder CellMessage::Builder::getRecordRequest() {
-  KJ_IREQUIRE((which() == CellMessage::RECORD_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Request::Builder::setStep( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline void CellMessage::Builder::setRecordRequest( ::citronlug::wire::RecordRequest::Reader value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_REQUEST);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t Request::Reader::getTransactionEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::citronlug::wire::RecordRequest::Builder CellMessage::Builder::initRecordRequest() {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_REQUEST);
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Request::Builder::getTransactionEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CellMessage::Builder::adoptRecordRequest(
-    ::capnp::Orphan< ::citronlug::wire::RecordRequest>&& value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_REQUEST);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::setTransactionEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::citronlug::wire::RecordRequest> CellMessage::Builder::disownRecordRequest() {
-  KJ_IREQUIRE((which() == CellMessage::RECORD_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Request::Reader::getTransactionNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool CellMessage::Reader::isRecordAnswer() const {
-  return which() == CellMessage::RECORD_ANSWER;
+inline  ::uint64_t Request::Builder::getTransactionNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline bool CellMessage::Builder::isRecordAnswer() {
-  return which() == CellMessage::RECORD_ANSWER;
+inline void Request::Builder::setTransactionNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline bool CellMessage::Reader::hasRecordAnswer() const {
-  if (which() != CellMessage::RECORD_ANSWER) return false;
+
+inline bool Request::Reader::hasSql() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool CellMessage::Builder::hasRecordAnswer() {
-  if (which() != CellMessage::RECORD_ANSWER) return false;
+inline bool Request::Builder::hasSql() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::citronlug::wire::RecordAnswer::Reader CellMessage::Reader::getRecordAnswer() const {
-  KJ_IREQUIRE((which() == CellMessage::RECORD_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Request::Reader::getSql() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::citronlug::wire::RecordAnswer::Builder CellMessage::Builder::getRecordAnswer() {
-  KJ_IREQUIRE((which() == CellMessage::RECORD_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Request::Builder::getSql() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void CellMessage::Builder::setRecordAnswer( ::citronlug::wire::RecordAnswer::Reader value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_ANSWER);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setSql( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::citronlug::wire::RecordAnswer::Builder CellMessage::Builder::initRecordAnswer() {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_ANSWER);
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Request::Builder::initSql(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void CellMessage::Builder::adoptRecordAnswer(
-    ::capnp::Orphan< ::citronlug::wire::RecordAnswer>&& value) {
-  _builder.setDataField<CellMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, CellMessage::RECORD_ANSWER);
-  ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptSql(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::citronlug::wire::RecordAnswer> CellMessage::Builder::disownRecordAnswer() {
-  KJ_IREQUIRE((which() == CellMessage::RECORD_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::RecordAnswer>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Request::Builder::disownSql() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::citronlug::wire::Value::Which Value::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::citronlug::wire::Value::Which Value::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Request::Reader::hasParameters() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool Value::Reader::isNull() const {
-  return which() == Value::NULL_;
+inline bool Request::Builder::hasParameters() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool Value::Builder::isNull() {
-  return which() == Value::NULL_;
+inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Reader Request::Reader::getParameters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Void Value::Reader::getNull() const {
-  KJ_IREQUIRE((which() == Value::NULL_),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Builder Request::Builder::getParameters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-
-inline  ::capnp::Void Value::Builder::getNull() {
-  KJ_IREQUIRE((which() == Value::NULL_),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Request::Builder::setParameters( ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline void Value::Builder::setNull( ::capnp::Void value) {
-  _builder.setDataField<Value::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Value::NULL_);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Builder Request::Builder::initParameters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-
-inline bool Value::Reader::isText() const {
-  return which() == Value::TEXT;
+inline void Request::Builder::adoptParameters(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline bool Value::Builder::isText() {
-  return which() == Value::TEXT;
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>> Request::Builder::disownParameters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline bool Value::Reader::hasText() const {
-  if (which() != Value::TEXT) return false;
+
+inline bool Request::Reader::hasEntryDomain() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline bool Value::Builder::hasText() {
-  if (which() != Value::TEXT) return false;
+inline bool Request::Builder::hasEntryDomain() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Value::Reader::getText() const {
-  KJ_IREQUIRE((which() == Value::TEXT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Request::Reader::getEntryDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Value::Builder::getText() {
-  KJ_IREQUIRE((which() == Value::TEXT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Request::Builder::getEntryDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void Value::Builder::setText( ::capnp::Data::Reader value) {
-  _builder.setDataField<Value::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Value::TEXT);
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setEntryDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Value::Builder::initText(unsigned int size) {
-  _builder.setDataField<Value::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Value::TEXT);
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Request::Builder::initEntryDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
-inline void Value::Builder::adoptText(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  _builder.setDataField<Value::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Value::TEXT);
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptEntryDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Value::Builder::disownText() {
-  KJ_IREQUIRE((which() == Value::TEXT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownEntryDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Position::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint8_t Answer::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Position::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t Answer::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Position::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Answer::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Position::Reader::getLog() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Answer::Reader::getHasError() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Position::Builder::getLog() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Answer::Builder::getHasError() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void Position::Builder::setLog( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Answer::Builder::setHasError(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Request::Reader::hasId() const {
+inline  ::uint8_t Answer::Reader::getCode() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Answer::Builder::getCode() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setCode( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Answer::Reader::hasMessage() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasId() {
+inline bool Answer::Builder::hasMessage() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Request::Reader::getId() const {
+inline  ::capnp::Text::Reader Answer::Reader::getMessage() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::getId() {
+inline  ::capnp::Text::Builder Answer::Builder::getMessage() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setId( ::capnp::Text::Reader value) {
+inline void Answer::Builder::setMessage( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Request::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder Answer::Builder::initMessage(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptId(
+inline void Answer::Builder::adoptMessage(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownMessage() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::hasAccount() const {
+inline  ::int64_t Answer::Reader::getRetryAfterUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Answer::Builder::getRetryAfterUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setRetryAfterUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Answer::Reader::hasColumns() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasAccount() {
+inline bool Answer::Builder::hasColumns() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Request::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader Answer::Reader::getColumns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Answer::Builder::getColumns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setAccount( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Answer::Builder::setColumns( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Request::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void Answer::Builder::setColumns(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Answer::Builder::initColumns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptAccount(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Answer::Builder::adoptColumns(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> Answer::Builder::disownColumns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::hasKey() const {
+inline bool Answer::Reader::hasCells() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasKey() {
+inline bool Answer::Builder::hasCells() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Request::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Reader Answer::Reader::getCells() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::getCells() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Answer::Builder::setCells( ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Request::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::initCells(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Answer::Builder::adoptCells(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>> Answer::Builder::disownCells() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::hasRoute() const {
+inline  ::uint32_t Answer::Reader::getRowCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Answer::Builder::getRowCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setRowCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Answer::Reader::getAffected() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Answer::Builder::getAffected() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setAffected( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Answer::Reader::hasReached() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasRoute() {
+inline bool Answer::Builder::hasReached() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Request::Reader::getRoute() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::citronlug::wire::Position::Reader Answer::Reader::getReached() const {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::getRoute() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::citronlug::wire::Position::Builder Answer::Builder::getReached() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setRoute( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::citronlug::wire::Position::Pipeline Answer::Pipeline::getReached() {
+  return  ::citronlug::wire::Position::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void Answer::Builder::setReached( ::citronlug::wire::Position::Reader value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Request::Builder::initRoute(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::citronlug::wire::Position::Builder Answer::Builder::initReached() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::adoptRoute(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Answer::Builder::adoptReached(
+    ::capnp::Orphan< ::citronlug::wire::Position>&& value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownRoute() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::citronlug::wire::Position> Answer::Builder::disownReached() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::hasDatabase() const {
+inline bool Answer::Reader::hasServedBy() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasDatabase() {
+inline bool Answer::Builder::hasServedBy() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Request::Reader::getDatabase() const {
+inline  ::capnp::Text::Reader Answer::Reader::getServedBy() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::getDatabase() {
+inline  ::capnp::Text::Builder Answer::Builder::getServedBy() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setDatabase( ::capnp::Text::Reader value) {
+inline void Answer::Builder::setServedBy( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Request::Builder::initDatabase(unsigned int size) {
+inline  ::capnp::Text::Builder Answer::Builder::initServedBy(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptDatabase(
+inline void Answer::Builder::adoptServedBy(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownDatabase() {
+inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownServedBy() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Request::Reader::getMode() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Answer::Reader::getFromReplica() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Request::Builder::getMode() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Answer::Builder::getFromReplica() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setMode( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Answer::Builder::setFromReplica(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Request::Reader::getIdempotent() const {
+inline bool Answer::Reader::getReplayed() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
-inline bool Request::Builder::getIdempotent() {
+inline bool Answer::Builder::getReplayed() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setIdempotent(bool value) {
+inline void Answer::Builder::setReplayed(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Request::Reader::getAck() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t Answer::Reader::getDataAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Request::Builder::getAck() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t Answer::Builder::getDataAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setDataAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Answer::Reader::getTransactionEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Answer::Builder::getTransactionEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setTransactionEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Answer::Reader::getTransactionNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Answer::Builder::getTransactionNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setTransactionNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Answer::Reader::getHolderEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Answer::Builder::getHolderEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setAck( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Answer::Builder::setHolderEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Request::Reader::getRemainingUs() const {
+inline  ::int64_t Event::Reader::getWallUs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Request::Builder::getRemainingUs() {
+inline  ::int64_t Event::Builder::getWallUs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setRemainingUs( ::int64_t value) {
+inline void Event::Builder::setWallUs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Request::Reader::getHasSession() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Event::Reader::getCounter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool Request::Builder::getHasSession() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Event::Builder::getCounter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setHasSession(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline void Event::Builder::setCounter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Request::Reader::hasSession() const {
+inline bool Event::Reader::hasInstance() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasSession() {
+inline bool Event::Builder::hasInstance() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::citronlug::wire::Position::Reader Request::Reader::getSession() const {
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::citronlug::wire::Position::Builder Request::Builder::getSession() {
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::citronlug::wire::Position::Pipeline Request::Pipeline::getSession() {
-  return  ::citronlug::wire::Position::Pipeline(_typeless.getPointerField(5));
-}
-#endif  // !CAPNP_LITE
-inline void Request::Builder::setSession( ::citronlug::wire::Position::Reader value) {
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::citronlug::wire::Position::Builder Request::Builder::initSession() {
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Request::Builder::adoptSession(
-    ::capnp::Orphan< ::citronlug::wire::Position>&& value) {
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Reader Event::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::citronlug::wire::Position> Request::Builder::disownSession() {
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Event::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t Request::Reader::getMaxAgeUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Event::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t Request::Builder::getMaxAgeUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Event::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::setMaxAgeUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Event::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint8_t Request::Reader::getStep() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Request::Builder::getStep() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool Event::Reader::hasKind() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Request::Builder::setStep( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool Event::Builder::hasKind() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Request::Reader::getTransactionEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader Event::Reader::getKind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Request::Builder::getTransactionEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Event::Builder::getKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setTransactionEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Event::Builder::setKind( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Request::Reader::getTransactionNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Event::Builder::initKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Request::Builder::getTransactionNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void Event::Builder::adoptKind(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Request::Builder::setTransactionNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::hasSql() const {
+inline bool Event::Reader::hasDetail() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasSql() {
+inline bool Event::Builder::hasDetail() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Request::Reader::getSql() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Event::Reader::getDetail() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Request::Builder::getSql() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Event::Builder::getDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setSql( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void Event::Builder::setDetail( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Request::Builder::initSql(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Event::Builder::initDetail(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptSql(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline void Event::Builder::adoptDetail(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Request::Builder::disownSql() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::hasParameters() const {
+inline bool Event::Reader::hasDatabase() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasParameters() {
+inline bool Event::Builder::hasDatabase() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Reader Request::Reader::getParameters() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Event::Reader::getDatabase() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Builder Request::Builder::getParameters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Event::Builder::getDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setParameters( ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline void Event::Builder::setDatabase( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Builder Request::Builder::initParameters(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Event::Builder::initDatabase(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptParameters(
-    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline void Event::Builder::adoptDatabase(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>> Request::Builder::disownParameters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownDatabase() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::hasEntryDomain() const {
+inline bool Event::Reader::hasAccount() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasEntryDomain() {
+inline bool Event::Builder::hasAccount() {
   return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Request::Reader::getEntryDomain() const {
+inline  ::capnp::Text::Reader Event::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::getEntryDomain() {
+inline  ::capnp::Text::Builder Event::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setEntryDomain( ::capnp::Text::Reader value) {
+inline void Event::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Request::Builder::initEntryDomain(unsigned int size) {
+inline  ::capnp::Text::Builder Event::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptEntryDomain(
+inline void Event::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownEntryDomain() {
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-
-inline  ::uint8_t Answer::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Answer::Builder::getOutcome() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Event::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline void Answer::Builder::setOutcome( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Event::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool Answer::Reader::getHasError() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader Event::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-
-inline bool Answer::Builder::getHasError() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Event::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Answer::Builder::setHasError(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void Event::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint8_t Answer::Reader::getCode() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Event::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint8_t Answer::Builder::getCode() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Event::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Answer::Builder::setCode( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool Answer::Reader::hasMessage() const {
+inline bool EventFilter::Reader::hasDatabase() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Answer::Builder::hasMessage() {
+inline bool EventFilter::Builder::hasDatabase() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Answer::Reader::getMessage() const {
+inline  ::capnp::Text::Reader EventFilter::Reader::getDatabase() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Answer::Builder::getMessage() {
+inline  ::capnp::Text::Builder EventFilter::Builder::getDatabase() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Answer::Builder::setMessage( ::capnp::Text::Reader value) {
+inline void EventFilter::Builder::setDatabase( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Answer::Builder::initMessage(unsigned int size) {
+inline  ::capnp::Text::Builder EventFilter::Builder::initDatabase(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Answer::Builder::adoptMessage(
+inline void EventFilter::Builder::adoptDatabase(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownMessage() {
+inline ::capnp::Orphan< ::capnp::Text> EventFilter::Builder::disownDatabase() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Answer::Reader::getRetryAfterUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Answer::Builder::getRetryAfterUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setRetryAfterUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Answer::Reader::hasColumns() const {
+inline bool EventFilter::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Answer::Builder::hasColumns() {
+inline bool EventFilter::Builder::hasAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader Answer::Reader::getColumns() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader EventFilter::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Answer::Builder::getColumns() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder EventFilter::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Answer::Builder::setColumns( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void Answer::Builder::setColumns(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void EventFilter::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Answer::Builder::initColumns(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder EventFilter::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Answer::Builder::adoptColumns(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void EventFilter::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> Answer::Builder::disownColumns() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> EventFilter::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Answer::Reader::hasCells() const {
+inline bool EventFilter::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Answer::Builder::hasCells() {
+inline bool EventFilter::Builder::hasRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Reader Answer::Reader::getCells() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader EventFilter::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::getCells() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder EventFilter::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Answer::Builder::setCells( ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void EventFilter::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::initCells(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder EventFilter::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Answer::Builder::adoptCells(
-    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void EventFilter::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>> Answer::Builder::disownCells() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Value,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> EventFilter::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Answer::Reader::getRowCount() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t EventFilter::Reader::getSinceUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Answer::Builder::getRowCount() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t EventFilter::Builder::getSinceUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setRowCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void EventFilter::Builder::setSinceUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Answer::Reader::getAffected() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t EventFilter::Reader::getLimit() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Answer::Builder::getAffected() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t EventFilter::Builder::getLimit() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setAffected( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void EventFilter::Builder::setLimit( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Answer::Reader::hasReached() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Answer::Builder::hasReached() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::citronlug::wire::Position::Reader Answer::Reader::getReached() const {
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::citronlug::wire::Position::Builder Answer::Builder::getReached() {
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::citronlug::wire::Position::Pipeline Answer::Pipeline::getReached() {
-  return  ::citronlug::wire::Position::Pipeline(_typeless.getPointerField(3));
-}
-#endif  // !CAPNP_LITE
-inline void Answer::Builder::setReached( ::citronlug::wire::Position::Reader value) {
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::citronlug::wire::Position::Builder Answer::Builder::initReached() {
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Answer::Builder::adoptReached(
-    ::capnp::Orphan< ::citronlug::wire::Position>&& value) {
-  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::citronlug::wire::Position> Answer::Builder::disownReached() {
-  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool Answer::Reader::hasServedBy() const {
+inline bool GroupReport::Reader::hasGroup() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Answer::Builder::hasServedBy() {
+inline bool GroupReport::Builder::hasGroup() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Answer::Reader::getServedBy() const {
+inline  ::capnp::Text::Reader GroupReport::Reader::getGroup() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Answer::Builder::getServedBy() {
+inline  ::capnp::Text::Builder GroupReport::Builder::getGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Answer::Builder::setServedBy( ::capnp::Text::Reader value) {
+inline void GroupReport::Builder::setGroup( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Answer::Builder::initServedBy(unsigned int size) {
+inline  ::capnp::Text::Builder GroupReport::Builder::initGroup(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Answer::Builder::adoptServedBy(
+inline void GroupReport::Builder::adoptGroup(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownServedBy() {
+inline ::capnp::Orphan< ::capnp::Text> GroupReport::Builder::disownGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Answer::Reader::getFromReplica() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GroupReport::Reader::getReleased() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Answer::Builder::getFromReplica() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GroupReport::Builder::getReleased() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setFromReplica(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline void GroupReport::Builder::setReleased( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Answer::Reader::getReplayed() const {
+inline bool GroupReport::Reader::getHasAcknowledged() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool Answer::Builder::getReplayed() {
+inline bool GroupReport::Builder::getHasAcknowledged() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setReplayed(bool value) {
+inline void GroupReport::Builder::setHasAcknowledged(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Answer::Reader::getDataAgeUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool GroupReport::Reader::hasAcknowledged() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t Answer::Builder::getDataAgeUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool GroupReport::Builder::hasAcknowledged() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Answer::Builder::setDataAgeUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::citronlug::wire::Position::Reader GroupReport::Reader::getAcknowledged() const {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Answer::Reader::getTransactionEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::citronlug::wire::Position::Builder GroupReport::Builder::getAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Answer::Builder::getTransactionEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::citronlug::wire::Position::Pipeline GroupReport::Pipeline::getAcknowledged() {
+  return  ::citronlug::wire::Position::Pipeline(_typeless.getPointerField(1));
 }
-inline void Answer::Builder::setTransactionEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void GroupReport::Builder::setAcknowledged( ::citronlug::wire::Position::Reader value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Answer::Reader::getTransactionNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::citronlug::wire::Position::Builder GroupReport::Builder::initAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Answer::Builder::getTransactionNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void GroupReport::Builder::adoptAcknowledged(
+    ::capnp::Orphan< ::citronlug::wire::Position>&& value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Answer::Builder::setTransactionNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::citronlug::wire::Position> GroupReport::Builder::disownAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Answer::Reader::getHolderEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::int64_t GroupReport::Reader::getAnsweredUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Answer::Builder::getHolderEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::int64_t GroupReport::Builder::getAnsweredUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setHolderEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void GroupReport::Builder::setAnsweredUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Event::Reader::getWallUs() const {
+inline  ::int64_t GroupReport::Reader::getFailedUs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Event::Builder::getWallUs() {
+inline  ::int64_t GroupReport::Builder::getFailedUs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Event::Builder::setWallUs( ::int64_t value) {
+inline void GroupReport::Builder::setFailedUs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Event::Reader::getCounter() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool GroupReport::Reader::getLostLead() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Event::Builder::getCounter() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool GroupReport::Builder::getLostLead() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
-inline void Event::Builder::setCounter( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void GroupReport::Builder::setLostLead(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Event::Reader::hasInstance() const {
+inline bool TokenQuestion::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Event::Builder::hasInstance() {
+inline bool TokenQuestion::Builder::hasAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Event::Reader::getInstance() const {
+inline  ::capnp::Text::Reader TokenQuestion::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Event::Builder::getInstance() {
+inline  ::capnp::Text::Builder TokenQuestion::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::setInstance( ::capnp::Text::Reader value) {
+inline void TokenQuestion::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Event::Builder::initInstance(unsigned int size) {
+inline  ::capnp::Text::Builder TokenQuestion::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Event::Builder::adoptInstance(
+inline void TokenQuestion::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownInstance() {
+inline ::capnp::Orphan< ::capnp::Text> TokenQuestion::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Event::Reader::hasKind() const {
+inline  ::uint32_t TokenQuestion::Reader::getWanted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TokenQuestion::Builder::getWanted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TokenQuestion::Builder::setWanted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TokenAnswer::Reader::hasAccount() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Event::Builder::hasKind() {
+inline bool TokenAnswer::Builder::hasAccount() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Event::Reader::getKind() const {
+inline  ::capnp::Text::Reader TokenAnswer::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Event::Builder::getKind() {
+inline  ::capnp::Text::Builder TokenAnswer::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::setKind( ::capnp::Text::Reader value) {
+inline void TokenAnswer::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Event::Builder::initKind(unsigned int size) {
+inline  ::capnp::Text::Builder TokenAnswer::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Event::Builder::adoptKind(
+inline void TokenAnswer::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownKind() {
+inline ::capnp::Orphan< ::capnp::Text> TokenAnswer::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Event::Reader::hasDetail() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Event::Builder::hasDetail() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Event::Reader::getDetail() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::uint32_t TokenAnswer::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder Event::Builder::getDetail() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint32_t TokenAnswer::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Event::Builder::setDetail( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void TokenAnswer::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder Event::Builder::initDetail(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+
+inline  ::int64_t TokenAnswer::Reader::getWaitUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Event::Builder::adoptDetail(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t TokenAnswer::Builder::getWaitUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownDetail() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void TokenAnswer::Builder::setWaitUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Event::Reader::hasDatabase() const {
+inline bool InstanceReport::Reader::hasInstance() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Event::Builder::hasDatabase() {
+inline bool InstanceReport::Builder::hasInstance() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Event::Reader::getDatabase() const {
+inline  ::capnp::Text::Reader InstanceReport::Reader::getInstance() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Event::Builder::getDatabase() {
+inline  ::capnp::Text::Builder InstanceReport::Builder::getInstance() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::setDatabase( ::capnp::Text::Reader value) {
+inline void InstanceReport::Builder::setInstance( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Event::Builder::initDatabase(unsigned int size) {
+inline  ::capnp::Text::Builder InstanceReport::Builder::initInstance(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Event::Builder::adoptDatabase(
+inline void InstanceReport::Builder::adoptInstance(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownDatabase() {
+inline ::capnp::Orphan< ::capnp::Text> InstanceReport::Builder::disownInstance() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Event::Reader::hasAccount() const {
+inline  ::uint64_t InstanceReport::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceReport::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool InstanceReport::Reader::hasGroups() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Event::Builder::hasAccount() {
+inline bool InstanceReport::Builder::hasGroups() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Event::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder Event::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>::Reader InstanceReport::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::setAccount( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>::Builder InstanceReport::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Event::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline void InstanceReport::Builder::setGroups( ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Event::Builder::adoptAccount(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>::Builder InstanceReport::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void InstanceReport::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>> InstanceReport::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Event::Reader::hasRequest() const {
+inline bool InstanceReport::Reader::hasQuestions() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Event::Builder::hasRequest() {
+inline bool InstanceReport::Builder::hasQuestions() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Event::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>::Reader InstanceReport::Reader::getQuestions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Event::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>::Builder InstanceReport::Builder::getQuestions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Event::Builder::setRequest( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void InstanceReport::Builder::setQuestions( ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Event::Builder::initRequest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>::Builder InstanceReport::Builder::initQuestions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Event::Builder::adoptRequest(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline void InstanceReport::Builder::adoptQuestions(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Event::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>> InstanceReport::Builder::disownQuestions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool EventFilter::Reader::hasDatabase() const {
+inline bool GroupWord::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EventFilter::Builder::hasDatabase() {
+inline bool GroupWord::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EventFilter::Reader::getDatabase() const {
+inline  ::capnp::Text::Reader GroupWord::Reader::getGroup() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EventFilter::Builder::getDatabase() {
+inline  ::capnp::Text::Builder GroupWord::Builder::getGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EventFilter::Builder::setDatabase( ::capnp::Text::Reader value) {
+inline void GroupWord::Builder::setGroup( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EventFilter::Builder::initDatabase(unsigned int size) {
+inline  ::capnp::Text::Builder GroupWord::Builder::initGroup(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void EventFilter::Builder::adoptDatabase(
+inline void GroupWord::Builder::adoptGroup(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EventFilter::Builder::disownDatabase() {
+inline ::capnp::Orphan< ::capnp::Text> GroupWord::Builder::disownGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool EventFilter::Reader::hasAccount() const {
+inline bool GroupWord::Reader::hasPrimary() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool EventFilter::Builder::hasAccount() {
+inline bool GroupWord::Builder::hasPrimary() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EventFilter::Reader::getAccount() const {
+inline  ::capnp::Text::Reader GroupWord::Reader::getPrimary() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EventFilter::Builder::getAccount() {
+inline  ::capnp::Text::Builder GroupWord::Builder::getPrimary() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EventFilter::Builder::setAccount( ::capnp::Text::Reader value) {
+inline void GroupWord::Builder::setPrimary( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EventFilter::Builder::initAccount(unsigned int size) {
+inline  ::capnp::Text::Builder GroupWord::Builder::initPrimary(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void EventFilter::Builder::adoptAccount(
+inline void GroupWord::Builder::adoptPrimary(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EventFilter::Builder::disownAccount() {
+inline ::capnp::Orphan< ::capnp::Text> GroupWord::Builder::disownPrimary() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool EventFilter::Reader::hasRequest() const {
+inline  ::uint64_t GroupWord::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GroupWord::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GroupWord::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GroupWord::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GroupWord::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GroupWord::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GroupWord::Reader::getChanging() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool GroupWord::Builder::getChanging() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void GroupWord::Builder::setChanging(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GroupWord::Reader::getHasSample() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool GroupWord::Builder::getHasSample() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void GroupWord::Builder::setHasSample(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GroupWord::Reader::hasSample() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool EventFilter::Builder::hasRequest() {
+inline bool GroupWord::Builder::hasSample() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EventFilter::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::citronlug::wire::Position::Reader GroupWord::Reader::getSample() const {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EventFilter::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::citronlug::wire::Position::Builder GroupWord::Builder::getSample() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void EventFilter::Builder::setRequest( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::citronlug::wire::Position::Pipeline GroupWord::Pipeline::getSample() {
+  return  ::citronlug::wire::Position::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void GroupWord::Builder::setSample( ::citronlug::wire::Position::Reader value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EventFilter::Builder::initRequest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::citronlug::wire::Position::Builder GroupWord::Builder::initSample() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void EventFilter::Builder::adoptRequest(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void GroupWord::Builder::adoptSample(
+    ::capnp::Orphan< ::citronlug::wire::Position>&& value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EventFilter::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::citronlug::wire::Position> GroupWord::Builder::disownSample() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::Position>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t EventFilter::Reader::getSinceUs() const {
+inline  ::int64_t GroupWord::Reader::getSampleAgeUs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t EventFilter::Builder::getSinceUs() {
+inline  ::int64_t GroupWord::Builder::getSampleAgeUs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void EventFilter::Builder::setSinceUs( ::int64_t value) {
+inline void GroupWord::Builder::setSampleAgeUs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReportAnswer::Reader::getHoldsDuty() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ReportAnswer::Builder::getHoldsDuty() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ReportAnswer::Builder::setHoldsDuty(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EventFilter::Reader::getLimit() const {
+inline  ::uint32_t ReportAnswer::Reader::getInstances() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EventFilter::Builder::getLimit() {
+inline  ::uint32_t ReportAnswer::Builder::getInstances() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void EventFilter::Builder::setLimit( ::uint32_t value) {
+inline void ReportAnswer::Builder::setInstances( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ReportAnswer::Reader::getRulesVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReportAnswer::Builder::getRulesVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ReportAnswer::Builder::setRulesVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReportAnswer::Reader::hasGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReportAnswer::Builder::hasGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>::Reader ReportAnswer::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>::Builder ReportAnswer::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ReportAnswer::Builder::setGroups( ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>::Builder ReportAnswer::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ReportAnswer::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>> ReportAnswer::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupWord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ReportAnswer::Reader::hasTokens() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReportAnswer::Builder::hasTokens() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>::Reader ReportAnswer::Reader::getTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>::Builder ReportAnswer::Builder::getTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ReportAnswer::Builder::setTokens( ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>::Builder ReportAnswer::Builder::initTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ReportAnswer::Builder::adoptTokens(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>> ReportAnswer::Builder::disownTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -7420,6 +9009,84 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::ReportParams::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ReportParams::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citronlug::wire::InstanceReport::Reader Peer::ReportParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::InstanceReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::citronlug::wire::InstanceReport::Builder Peer::ReportParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::InstanceReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citronlug::wire::InstanceReport::Pipeline Peer::ReportParams::Pipeline::getReport() {
+  return  ::citronlug::wire::InstanceReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ReportParams::Builder::setReport( ::citronlug::wire::InstanceReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::InstanceReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::citronlug::wire::InstanceReport::Builder Peer::ReportParams::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::InstanceReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ReportParams::Builder::adoptReport(
+    ::capnp::Orphan< ::citronlug::wire::InstanceReport>&& value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::InstanceReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citronlug::wire::InstanceReport> Peer::ReportParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::InstanceReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::ReportResults::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ReportResults::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citronlug::wire::ReportAnswer::Reader Peer::ReportResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::ReportAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::citronlug::wire::ReportAnswer::Builder Peer::ReportResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::ReportAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citronlug::wire::ReportAnswer::Pipeline Peer::ReportResults::Pipeline::getAnswer() {
+  return  ::citronlug::wire::ReportAnswer::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ReportResults::Builder::setAnswer( ::citronlug::wire::ReportAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::ReportAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::citronlug::wire::ReportAnswer::Builder Peer::ReportResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::ReportAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ReportResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::citronlug::wire::ReportAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::citronlug::wire::ReportAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citronlug::wire::ReportAnswer> Peer::ReportResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::citronlug::wire::ReportAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/citronlugd/peer_codec.h
+++ b/src/citronlugd/peer_codec.h
@@ -3,6 +3,7 @@
 #include "peer.capnp.h"
 
 #include <citronlug/cell_node.h>
+#include <citronlug/coordination.h>
 #include <citronlug/request.h>
 #include <citronlug/timeline.h>
 
@@ -23,6 +24,11 @@
 auto encode(const answer& value, epoch_number holder_epoch, wire::Answer::Builder to) -> void;
 [[nodiscard]] auto decode(wire::Answer::Reader from, epoch_number& holder_epoch) -> std::optional<answer>;
 
+auto encode(const instance_report& report, wire::InstanceReport::Builder to) -> void;
+[[nodiscard]] auto decode(wire::InstanceReport::Reader from) -> instance_report;
+auto encode(const report_answer& answer, wire::ReportAnswer::Builder to) -> void;
+[[nodiscard]] auto decode(wire::ReportAnswer::Reader from) -> report_answer;
+
 auto encode(const timeline_filter& filter, wire::EventFilter::Builder to) -> void;
 [[nodiscard]] auto decode(wire::EventFilter::Reader from) -> timeline_filter;
 auto encode(const timeline_event& event, wire::Event::Builder to) -> void;
--- /dev/null
+++ b/src/citronlugd/peer_report_codec.cpp
@@ -0,0 +1,124 @@
+#include "peer_codec.h"
+
+namespace citronlug {
+
+namespace {
+
+constexpr auto never = std::int64_t{-1};
+
+auto encode_age(const std::optional<duration>& age) -> std::int64_t {
+    return age ? age->count() : never;
+}
+
+auto decode_age(std::int64_t us) -> std::optional<duration> {
+    return us < 0 ? std::nullopt : std::optional{duration{us}};
+}
+
+auto encode(const position& from, wire::Position::Builder to) -> void {
+    to.setTerm(from.term);
+    to.setLog(from.log);
+}
+
+auto decode(wire::Position::Reader from) -> position {
+    return {from.getTerm(), from.getLog()};
+}
+
+auto size_of(std::size_t n) -> unsigned {
+    return static_cast<unsigned>(n);
+}
+
+} // namespace
+
+auto encode(const instance_report& report, wire::InstanceReport::Builder to) -> void {
+    to.setInstance(report.instance.value);
+    to.setRun(report.run);
+    auto groups = to.initGroups(size_of(report.groups.size()));
+    for (auto n = 0U; n < groups.size(); ++n) {
+        const auto& from = report.groups[n];
+        auto it = groups[n];
+        it.setGroup(from.group.value);
+        it.setReleased(from.released);
+        it.setHasAcknowledged(from.acknowledged.has_value());
+        encode(from.acknowledged.value_or(position{}), it.initAcknowledged());
+        it.setAnsweredUs(encode_age(from.answered));
+        it.setFailedUs(encode_age(from.failed));
+        it.setLostLead(from.lost_lead);
+    }
+    auto questions = to.initQuestions(size_of(report.questions.size()));
+    for (auto n = 0U; n < questions.size(); ++n) {
+        questions[n].setAccount(report.questions[n].account.value);
+        questions[n].setWanted(report.questions[n].wanted);
+    }
+}
+
+auto decode(wire::InstanceReport::Reader from) -> instance_report {
+    auto report = instance_report{};
+    report.instance = instance_id{std::string{from.getInstance()}};
+    report.run = from.getRun();
+    for (const auto it : from.getGroups()) {
+        auto group = group_report{};
+        group.group = group_id{std::string{it.getGroup()}};
+        group.released = it.getReleased();
+        if (it.getHasAcknowledged()) {
+            group.acknowledged = decode(it.getAcknowledged());
+        }
+        group.answered = decode_age(it.getAnsweredUs());
+        group.failed = decode_age(it.getFailedUs());
+        group.lost_lead = it.getLostLead();
+        report.groups.push_back(std::move(group));
+    }
+    for (const auto it : from.getQuestions()) {
+        report.questions.push_back({account_id{std::string{it.getAccount()}}, it.getWanted()});
+    }
+    return report;
+}
+
+auto encode(const report_answer& answer, wire::ReportAnswer::Builder to) -> void {
+    to.setHoldsDuty(answer.holds_duty);
+    to.setInstances(answer.instances);
+    to.setRulesVersion(answer.rules_version);
+    auto groups = to.initGroups(size_of(answer.groups.size()));
+    for (auto n = 0U; n < groups.size(); ++n) {
+        const auto& from = answer.groups[n];
+        auto it = groups[n];
+        it.setGroup(from.group.value);
+        it.setPrimary(from.record.primary.value);
+        it.setTerm(from.record.term);
+        it.setGeneration(from.record.generation);
+        it.setChanging(from.record.changing);
+        it.setHasSample(from.sample.has_value());
+        encode(from.sample.value_or(position{}), it.initSample());
+        it.setSampleAgeUs(from.sample_age.count());
+    }
+    auto tokens = to.initTokens(size_of(answer.tokens.size()));
+    for (auto n = 0U; n < tokens.size(); ++n) {
+        tokens[n].setAccount(answer.tokens[n].account.value);
+        tokens[n].setTokens(answer.tokens[n].tokens);
+        tokens[n].setWaitUs(answer.tokens[n].wait.count());
+    }
+}
+
+auto decode(wire::ReportAnswer::Reader from) -> report_answer {
+    auto answer = report_answer{};
+    answer.holds_duty = from.getHoldsDuty();
+    answer.instances = from.getInstances();
+    answer.rules_version = from.getRulesVersion();
+    for (const auto it : from.getGroups()) {
+        auto word = group_word{};
+        word.group = group_id{std::string{it.getGroup()}};
+        word.record = {server_id{std::string{it.getPrimary()}}, it.getTerm(), it.getGeneration(), it.getChanging(),
+                       {}};
+        if (it.getHasSample()) {
+            word.sample = decode(it.getSample());
+        }
+        word.sample_age = duration{it.getSampleAgeUs()};
+        answer.groups.push_back(std::move(word));
+    }
+    for (const auto it : from.getTokens()) {
+        answer.tokens.push_back(
+            {account_id{std::string{it.getAccount()}}, it.getTokens(), duration{it.getWaitUs()}});
+    }
+    return answer;
+}
+
+} // namespace citronlug
--- a/src/citronlugd/peer_rpc.cpp
+++ b/src/citronlugd/peer_rpc.cpp
@@ -546,6 +546,18 @@
         [done] { done(std::nullopt); });
 }
 
+auto peer_rpc::report(const std::string& address, instance_report report,
+                      std::function<void(std::optional<report_answer>)> done) -> void {
+    impl_->call_short(
+        address, clock_now() + 300ms,
+        [report = std::move(report)](wire::Peer::Client& peer) {
+            auto it = peer.reportRequest();
+            encode(report, it.initReport());
+            return it.send();
+        },
+        [done](auto& it) { done(decode(it.getAnswer())); }, [done] { done(std::nullopt); });
+}
+
 auto peer_rpc::config_version(const std::string& address,
                               std::function<void(std::optional<std::uint64_t>)> done) -> void {
     impl_->call_short(
--- a/src/citronlugd/peer_rpc.h
+++ b/src/citronlugd/peer_rpc.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <citronlug/cell_node.h>
+#include <citronlug/coordination.h>
 #include <citronlug/request.h>
 #include <citronlug/timeline.h>
 
@@ -47,6 +48,7 @@
     std::function<std::optional<role_location>(role_id)> locate;
     std::function<std::vector<timeline_event>(const timeline_filter&)> timeline;
     std::function<void(database_id, account_id, request_id)> cancel;
+    std::function<void(instance_report, std::function<void(report_answer)>)> report;
 };
 
 struct peer_counters {
@@ -86,6 +88,9 @@
     auto config_version(const std::string& address, std::function<void(std::optional<std::uint64_t>)> done)
         -> void;
     auto cancel(const std::string& address, database_id database, account_id account, request_id id) -> void;
+    /// Report to the coordinator.
+    auto report(const std::string& address, instance_report report,
+                std::function<void(std::optional<report_answer>)> done) -> void;
     [[nodiscard]] auto counters() const -> peer_counters;
     auto stop() -> void;
 
--- a/src/citronlugd/peer_server.cpp
+++ b/src/citronlugd/peer_server.cpp
@@ -92,6 +92,13 @@
         });
     }
 
+    auto report(ReportContext context) -> kj::Promise<void> override {
+        auto [promise, fulfil] = make_reply<report_answer>(state_->post);
+        state_->services.report(decode(context.getParams().getReport()), std::move(fulfil));
+        return promise.then(
+            [context](const report_answer& it) mutable { encode(it, context.getResults().initAnswer()); });
+    }
+
     auto giveBack(GiveBackContext context) -> kj::Promise<void> override {
         const auto params = context.getParams();
         state_->services.give_back(account_id{std::string{params.getAccount()}}, params.getTokens(),
--- /dev/null
+++ b/src/include/citronlug/account_gate.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <citronlug/accountant.h>
+#include <citronlug/desired_state.h>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace citronlug {
+
+/// Part of an equal share of a rate that an instance uses while it cannot reach the accountant. The accountant keeps
+/// the same part free for each instance that it does not hear.
+inline constexpr double unheard_share = 0.6;
+/// An instance without an answer of the accountant for this time goes over to its part of the rate.
+inline constexpr duration accountant_silence = 700ms;
+
+/// Question to the accountant for tokens of one account, and its answer.
+struct token_question {
+    account_id account;
+    std::uint32_t wanted = 0;
+};
+struct token_answer {
+    account_id account;
+    std::uint32_t tokens = 0;
+    duration wait{}; ///< until the account has a token
+};
+
+/// Admission of operations by the rate of their client account, at one instance. Tokens come in small batches from
+/// the accountant; without it each instance admits a fixed part of the rate, starting from nothing, so that the sum
+/// over all instances stays within rate and burst. Answers the load of one account that sends many times its rate.
+/// Not thread-safe.
+class account_gate {
+public:
+    auto set_limits(time_point now, const desired_state& rules) -> void;
+    auto set_instances(std::uint32_t live) -> void { instances_ = live; }
+
+    /// Spends one token. `ask`: `questions` has something to send; try again after `on_answers`.
+    [[nodiscard]] auto admit(time_point now, const account_id& account, time_point deadline) -> admission;
+    /// Questions to send now; each is handed out once.
+    [[nodiscard]] auto questions(time_point now) -> std::vector<token_question>;
+    auto on_answers(time_point now, time_point asked_at, const std::vector<token_answer>& answers) -> void;
+    /// The questions handed out last were not answered.
+    auto on_no_answer(time_point now, const std::vector<token_question>& asked) -> void;
+    [[nodiscard]] auto has_accountant(time_point now) const -> bool;
+    [[nodiscard]] auto has_questions() const -> bool { return !to_ask_.empty(); }
+
+private:
+    struct entry {
+        rate_limit limit;
+        std::unique_ptr<limit_policy> granted;
+        double own_level = 0; ///< tokens while there is no accountant
+        time_point own_at;
+    };
+
+    [[nodiscard]] auto admit_alone(time_point now, entry& it) const -> bool;
+
+    std::map<account_id, entry> entries_;
+    std::map<account_id, bool> to_ask_;
+    std::uint32_t instances_ = 1;
+    time_point answered_at_ = time_point{} - 1h;
+};
+
+/// The accountant's side: token buckets of all accounts, reduced by the part that unheard instances may use.
+class account_ledger {
+public:
+    /// `alone`: no other accountant has handed out tokens within a grant's life.
+    auto set_limits(time_point now, const desired_state& rules) -> void;
+    auto set_instances(time_point now, std::uint32_t registered, std::uint32_t heard) -> void;
+    [[nodiscard]] auto take(time_point now, const token_question& asked) -> token_answer;
+    /// Forgets all buckets; new ones start empty.
+    auto reset() -> void;
+
+private:
+    [[nodiscard]] auto reduced(rate_limit limit) const -> rate_limit;
+
+    std::map<account_id, rate_limit> limits_;
+    std::map<account_id, accountant> buckets_;
+    double factor_ = 1;
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/include/citronlug/primary_coordinator.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <citronlug/coordination.h>
+#include <citronlug/desired_state.h>
+
+#include <functional>
+
+namespace citronlug {
+
+/// Result of a status probe.
+struct probe_result {
+    bool answered = false; ///< the server answered something
+    bool refused = false;  ///< nothing listens at its address
+    std::optional<server_status> status;
+};
+
+/// Takes and keeps the coordinator's duty, and changes the primary of a group when it is lost or leaving:
+/// 1. writes into the group's record that a change is under way, so that no permission is given any more;
+/// 2. waits until all registered instances have given theirs back, or until the last one has run out;
+/// 3. records the replica with the newest position as the successor and orders its promotion;
+/// 4. records the new primary once it leads.
+/// A successor in the duty continues from the record. Performs no I/O and reads no clock; every instance runs one. Not
+/// thread-safe.
+class primary_coordinator {
+public:
+    using event_sink = std::function<void(const coordinator_event&)>;
+
+    primary_coordinator(instance_id self, incarnation run, std::string peer_address, std::string fresh_secret,
+                        event_sink events);
+    ~primary_coordinator();
+    primary_coordinator(const primary_coordinator&) = delete;
+    auto operator=(const primary_coordinator&) -> primary_coordinator& = delete;
+
+    /// A record as the store states it in an answer to a request of `asked_at`.
+    auto on_record(time_point now, const std::string& name, const std::string& value, std::uint64_t revision)
+        -> void;
+    auto on_record_removed(time_point now, const std::string& name) -> void;
+    /// The store has stated the present records in an answer to a request of `asked_at`.
+    auto on_records_confirmed(time_point now, time_point asked_at) -> void;
+    auto set_servers(time_point now, const std::vector<backend_server>& servers) -> void;
+    auto set_groups(const std::map<group_id, server_group>& groups) -> void;
+    auto on_instances(time_point now, const std::set<instance_id>& registered) -> void;
+    auto on_report(time_point now, const instance_report& report) -> void;
+    auto on_probe(time_point now, const server_id& server, time_point asked_at, const probe_result& result) -> void;
+    auto on_written(time_point now, const std::string& name, time_point asked_at, write_outcome outcome,
+                    std::uint64_t revision) -> void;
+    auto on_promotion(time_point now, const group_id& group, promotion_outcome outcome) -> void;
+
+    /// Decides what is due.
+    [[nodiscard]] auto on_tick(time_point now) -> std::vector<coordinator_action>;
+    /// Gives the duty up, so that another instance can take it at once.
+    [[nodiscard]] auto leave(time_point now) -> std::vector<coordinator_action>;
+
+    [[nodiscard]] auto holds_duty(time_point now) const -> bool;
+    [[nodiscard]] auto duty() const -> const std::optional<duty_record>&;
+    [[nodiscard]] auto record_of(const group_id& group) const -> std::optional<primary_record>;
+    [[nodiscard]] auto records() const -> std::map<group_id, primary_record>;
+    /// Number of registered instances, and of those that reported lately.
+    [[nodiscard]] auto registered() const -> std::uint32_t;
+    [[nodiscard]] auto heard(time_point now) const -> std::uint32_t;
+    /// Newest position that the primary of the group stated to this coordinator, and when it was asked for.
+    [[nodiscard]] auto sample_of(const group_id& group) const -> std::optional<std::pair<time_point, position>>;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/include/citronlug/server_pool.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <citronlug/desired_state.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace citronlug {
+
+/// Connections of this instance to one server: how many it may keep and open.
+struct connection_budget {
+    std::uint32_t share = 1; ///< connections that are always this instance's to use
+    std::uint32_t most = 1;  ///< above its share it opens more, up to this number, until a server has no room
+};
+
+/// Share of one server's connections among `instances`, with some left for probes and new instances.
+[[nodiscard]] auto budget_of(std::uint32_t server_connections, std::uint32_t instances) -> connection_budget;
+
+enum class connection_phase {
+    opening,
+    idle,
+    busy,   ///< runs a statement, or belongs to an open transaction
+    closed,
+};
+
+template <>
+struct name_table<connection_phase> {
+    static constexpr std::array<std::string_view, 4> names{"opening", "idle", "busy", "closed"};
+};
+
+/// One connection to a backend server, on behalf of one client account.
+struct server_connection {
+    connection_id id = 0;
+    backend_server server;
+    account_id account;
+    connection_phase phase = connection_phase::opening;
+    time_point opened_at;
+    time_point used_at;
+    std::map<std::string, std::string> values;                       ///< session values in force there
+    std::map<std::pair<bool, std::string>, std::string> statements;  ///< prepared: writes?, shape -> name
+    std::uint64_t next_statement = 1;                                ///< names of prepared statements
+};
+
+/// What placement knows of a server's load and health.
+struct server_health {
+    duration usual_latency{30ms}; ///< moving average of whole answers
+    std::uint32_t failures = 0;   ///< in a row
+    time_point usable_at;         ///< not chosen before, after failures
+    time_point current_at;        ///< a replica that lacked a position is not chosen for reads before
+    time_point room_at;           ///< no connection above the share before, after the server had no room
+    time_point answered_at;       ///< last answer
+};
+
+/// What one attempt to get a connection came to.
+enum class placement_result {
+    ready,   ///< `connection` is an idle connection
+    opening, ///< a connection is being opened
+    full,    ///< all connections are in use
+};
+
+template <>
+struct name_table<placement_result> {
+    static constexpr std::array<std::string_view, 3> names{"ready", "opening", "full"};
+};
+
+/// Connections of this instance to the backend servers, and which of them serves a statement. Opens and closes
+/// through the actions that it returns. Not thread-safe.
+class server_pool {
+public:
+    explicit server_pool(failure_domain own_domain);
+
+    auto set_servers(time_point now, const std::vector<backend_server>& servers) -> std::vector<connection_id>;
+    auto set_budget(const group_id& group, connection_budget budget) -> void;
+
+    [[nodiscard]] auto server(const server_id& id) const -> const backend_server*;
+    [[nodiscard]] auto health(const server_id& id) -> server_health&;
+    [[nodiscard]] auto servers_of(const group_id& group) const -> std::vector<const backend_server*>;
+    [[nodiscard]] auto find(connection_id id) -> server_connection*;
+
+    /// Estimated time until a statement of this account placed there now is answered; nothing if the server is not
+    /// usable now.
+    [[nodiscard]] auto estimate(const backend_server& server, const account_id& account, time_point now)
+        -> std::optional<duration>;
+
+    struct placement {
+        placement_result result = placement_result::full;
+        connection_id connection = 0;
+        connection_id evicted = 0; ///< idle connection of another account that must be closed first
+        bool is_new = false;       ///< the owner must open `connection`
+    };
+    /// A connection to this server for this account, marked busy if it is ready. Connections whose session values are
+    /// `values` come first. Opens one only if `may_open`.
+    [[nodiscard]] auto acquire(const backend_server& server, const account_id& account,
+                               const std::map<std::string, std::string>& values, bool may_open, time_point now)
+        -> placement;
+    /// An idle connection of any account, marked busy.
+    [[nodiscard]] auto acquire_any(const server_id& server, time_point now) -> connection_id;
+
+    auto on_opened(connection_id id, time_point now) -> void;
+    auto release(connection_id id, time_point now) -> void;
+    auto remove(connection_id id) -> void;
+
+    /// Outcomes that change the health of a server.
+    auto on_answer(const server_id& id, duration latency, time_point now) -> void;
+    auto on_failure(const server_id& id, time_point now) -> void;
+    auto on_lagging(const server_id& id, time_point now) -> void;
+    auto on_no_room(const server_id& id, time_point now) -> void;
+
+    /// Idle connections above the share, or to servers that are leaving, that should be closed now.
+    [[nodiscard]] auto surplus(time_point now) -> std::vector<connection_id>;
+    [[nodiscard]] auto connections() const -> const std::map<connection_id, server_connection>& { return connections_; }
+    [[nodiscard]] auto busy(const server_id& id) const -> std::uint32_t;
+
+private:
+    struct usage {
+        std::uint32_t opening = 0;
+        std::uint32_t idle = 0;
+        std::uint32_t busy = 0;
+        [[nodiscard]] auto total() const -> std::uint32_t { return opening + idle + busy; }
+    };
+    [[nodiscard]] auto usage_of(const server_id& id) const -> usage;
+    [[nodiscard]] auto limit_of(const backend_server& server, time_point now) -> std::uint32_t;
+
+    failure_domain own_domain_;
+    std::map<server_id, backend_server> servers_;
+    std::map<server_id, server_health> health_;
+    std::map<group_id, connection_budget> budgets_;
+    std::map<connection_id, server_connection> connections_;
+    connection_id next_connection_ = 1;
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/server_pool.cpp
@@ -0,0 +1,269 @@
+#include <citronlug/server_pool.h>
+
+#include <algorithm>
+
+namespace citronlug {
+
+namespace {
+
+/// Connections of a server that instances leave for status probes and for instances that are starting.
+constexpr auto reserved_connections = std::uint32_t{2};
+/// An instance may open this many times its share while the server has room, because callers are spread unevenly.
+constexpr auto most_shares = std::uint32_t{3};
+/// Expected time to open a connection; the servers' stated cost of a handshake and a round trip.
+constexpr auto opening_time = duration{15ms};
+/// Two network crossings between failure domains, and the cost of their bytes.
+constexpr auto crossing_time = duration{4ms};
+/// Weight of a new latency in the moving average.
+constexpr auto latency_weight = 0.1;
+/// Pause after the first failure of a server; it doubles with each further one.
+constexpr auto first_pause = duration{50ms};
+constexpr auto longest_pause = duration{1s};
+/// A replica that lacked a position is tried again after this time.
+constexpr auto lagging_pause = duration{120ms};
+/// After a server had no room, no connection above the share is opened for this time.
+constexpr auto no_room_pause = duration{2s};
+/// Idle connections above the share are closed after this time.
+constexpr auto surplus_idle = duration{1s};
+
+} // namespace
+
+auto budget_of(std::uint32_t server_connections, std::uint32_t instances) -> connection_budget {
+    const auto usable = server_connections > reserved_connections ? server_connections - reserved_connections : 1U;
+    const auto share = std::max(1U, usable / std::max(1U, instances));
+    return {share, std::max(share, std::min(usable, share * most_shares))};
+}
+
+server_pool::server_pool(failure_domain own_domain)
+    : own_domain_{std::move(own_domain)} {}
+
+auto server_pool::set_servers(time_point /*now*/, const std::vector<backend_server>& servers)
+    -> std::vector<connection_id> {
+    auto next = std::map<server_id, backend_server>{};
+    for (const auto& it : servers) {
+        next.emplace(it.id, it);
+    }
+    auto gone = std::vector<connection_id>{};
+    for (const auto& [id, it] : connections_) {
+        const auto known = next.find(it.server.id);
+        const auto same = known != next.end() && known->second.address == it.server.address &&
+                          known->second.started_ms == it.server.started_ms;
+        // A busy connection ends with its work: a server that vanished from the list may still answer.
+        if (!same && it.phase != connection_phase::busy) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& [id, it] : next) {
+        const auto known = servers_.find(id);
+        if (known == servers_.end() || known->second.started_ms != it.started_ms) {
+            health_.erase(id);
+        }
+    }
+    servers_ = std::move(next);
+    std::erase_if(health_, [this](const auto& it) { return !servers_.contains(it.first); });
+    return gone;
+}
+
+auto server_pool::set_budget(const group_id& group, connection_budget budget) -> void {
+    budgets_[group] = budget;
+}
+
+auto server_pool::server(const server_id& id) const -> const backend_server* {
+    const auto it = servers_.find(id);
+    return it == servers_.end() ? nullptr : &it->second;
+}
+
+auto server_pool::health(const server_id& id) -> server_health& {
+    return health_[id];
+}
+
+auto server_pool::servers_of(const group_id& group) const -> std::vector<const backend_server*> {
+    auto found = std::vector<const backend_server*>{};
+    for (const auto& [id, it] : servers_) {
+        if (it.group == group) {
+            found.push_back(&it);
+        }
+    }
+    return found;
+}
+
+auto server_pool::find(connection_id id) -> server_connection* {
+    const auto it = connections_.find(id);
+    return it == connections_.end() ? nullptr : &it->second;
+}
+
+auto server_pool::usage_of(const server_id& id) const -> usage {
+    auto sum = usage{};
+    for (const auto& [number, it] : connections_) {
+        if (it.server.id == id) {
+            sum.opening += it.phase == connection_phase::opening ? 1 : 0;
+            sum.idle += it.phase == connection_phase::idle ? 1 : 0;
+            sum.busy += it.phase == connection_phase::busy ? 1 : 0;
+        }
+    }
+    return sum;
+}
+
+auto server_pool::busy(const server_id& id) const -> std::uint32_t {
+    return usage_of(id).busy;
+}
+
+auto server_pool::limit_of(const backend_server& server, time_point now) -> std::uint32_t {
+    const auto it = budgets_.find(server.group);
+    const auto budget = it == budgets_.end() ? connection_budget{} : it->second;
+    return health(server.id).room_at <= now ? budget.most : budget.share;
+}
+
+auto server_pool::estimate(const backend_server& server, const account_id& account, time_point now)
+    -> std::optional<duration> {
+    const auto& known = health(server.id);
+    if (server.state != server_state::ready || known.usable_at > now) {
+        return std::nullopt;
+    }
+    auto idle = false;
+    for (const auto& [id, it] : connections_) {
+        idle = idle || (it.server.id == server.id && it.account == account && it.phase == connection_phase::idle);
+    }
+    const auto use = usage_of(server.id);
+    const auto queued = 1.0 + static_cast<double>(use.busy) / std::max(1U, server.slots);
+    auto sum = std::chrono::duration_cast<duration>(known.usual_latency * queued);
+    if (!idle) {
+        sum += use.total() < limit_of(server, now) || use.idle > 0 ? opening_time : known.usual_latency + opening_time;
+    }
+    if (server.domain != own_domain_) {
+        sum += crossing_time;
+    }
+    return sum;
+}
+
+auto server_pool::acquire(const backend_server& server, const account_id& account,
+                          const std::map<std::string, std::string>& values, bool may_open, time_point now)
+    -> placement {
+    auto* best = static_cast<server_connection*>(nullptr);
+    auto* oldest_other = static_cast<server_connection*>(nullptr);
+    for (auto& [id, it] : connections_) {
+        if (it.server.id != server.id || it.phase != connection_phase::idle) {
+            continue;
+        }
+        if (it.account != account) {
+            if (oldest_other == nullptr || it.used_at < oldest_other->used_at) {
+                oldest_other = &it;
+            }
+            continue;
+        }
+        const auto fits = it.values == values;
+        const auto best_fits = best != nullptr && best->values == values;
+        // Among equals the most recently used one, so that the others become idle and can be closed.
+        if (best == nullptr || (fits && !best_fits) || (fits == best_fits && it.used_at > best->used_at)) {
+            best = &it;
+        }
+    }
+    if (best != nullptr) {
+        best->phase = connection_phase::busy;
+        best->used_at = now;
+        return {placement_result::ready, best->id, 0, false};
+    }
+    auto result = placement{};
+    if (!may_open) {
+        return result;
+    }
+    if (usage_of(server.id).total() >= limit_of(server, now)) {
+        if (oldest_other == nullptr) {
+            return result;
+        }
+        result.evicted = oldest_other->id;
+        connections_.erase(result.evicted);
+    }
+    const auto id = next_connection_++;
+    auto& added = connections_[id];
+    added.id = id;
+    added.server = server;
+    added.account = account;
+    added.opened_at = now;
+    added.used_at = now;
+    result.result = placement_result::opening;
+    result.connection = id;
+    result.is_new = true;
+    return result;
+}
+
+auto server_pool::acquire_any(const server_id& server, time_point now) -> connection_id {
+    for (auto& [id, it] : connections_) {
+        if (it.server.id == server && it.phase == connection_phase::idle) {
+            it.phase = connection_phase::busy;
+            it.used_at = now;
+            return id;
+        }
+    }
+    return 0;
+}
+
+auto server_pool::on_opened(connection_id id, time_point now) -> void {
+    if (auto* it = find(id)) {
+        it->phase = connection_phase::idle;
+        it->used_at = now;
+    }
+}
+
+auto server_pool::release(connection_id id, time_point now) -> void {
+    if (auto* it = find(id)) {
+        it->phase = connection_phase::idle;
+        it->used_at = now;
+    }
+}
+
+auto server_pool::remove(connection_id id) -> void {
+    connections_.erase(id);
+}
+
+auto server_pool::on_answer(const server_id& id, duration latency, time_point now) -> void {
+    auto& it = health(id);
+    it.failures = 0;
+    it.usable_at = {};
+    it.answered_at = now;
+    it.usual_latency = std::chrono::duration_cast<duration>(it.usual_latency * (1 - latency_weight) +
+                                                            latency * latency_weight);
+}
+
+auto server_pool::on_failure(const server_id& id, time_point now) -> void {
+    if (!servers_.contains(id)) {
+        return;
+    }
+    auto& it = health(id);
+    const auto doublings = std::min(it.failures, 5U);
+    it.usable_at = now + std::min(longest_pause, first_pause * (1U << doublings));
+    ++it.failures;
+}
+
+auto server_pool::on_lagging(const server_id& id, time_point now) -> void {
+    health(id).current_at = now + lagging_pause;
+}
+
+auto server_pool::on_no_room(const server_id& id, time_point now) -> void {
+    health(id).room_at = now + no_room_pause;
+}
+
+auto server_pool::surplus(time_point now) -> std::vector<connection_id> {
+    auto found = std::vector<connection_id>{};
+    auto totals = std::map<server_id, std::uint32_t>{};
+    for (const auto& [id, it] : connections_) {
+        ++totals[it.server.id];
+    }
+    for (const auto& [id, it] : connections_) {
+        if (it.phase != connection_phase::idle) {
+            continue;
+        }
+        const auto* known = server(it.server.id);
+        const auto leaving = known == nullptr || known->state == server_state::draining ||
+                             known->started_ms != it.server.started_ms;
+        const auto budget = budgets_.find(it.server.group);
+        const auto share = budget == budgets_.end() ? 1U : budget->second.share;
+        if (leaving || (totals[it.server.id] > share && now - it.used_at >= surplus_idle)) {
+            found.push_back(id);
+            --totals[it.server.id];
+        }
+    }
+    return found;
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/session_answers.cpp
@@ -0,0 +1,526 @@
+#include "session_proxy_impl.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace citronlug {
+
+namespace {
+
+/// A request that takes longer than this part of its route's target is logged with its steps.
+constexpr auto slow_part = 1.0;
+/// After a server refused a statement because its queue is full, it is not chosen for this time.
+constexpr auto full_pause = duration{20ms};
+/// After the primary refused a write as a replica, it is not used for this time.
+constexpr auto lost_lead_pause = duration{200ms};
+/// Positions of the primary are asked for if the newest one known is older, so that replicas can serve reads.
+constexpr auto position_interval = duration{400ms};
+/// With no read of the group for this time, no position is asked for.
+constexpr auto position_demand = duration{3s};
+
+} // namespace
+
+auto session_proxy::implementation::close_connection(connection_id id) -> void {
+    pool_.remove(id);
+    ending_.erase(id);
+    probes_.erase(id);
+    effects_.close_server(id);
+}
+
+auto session_proxy::implementation::free_connection(time_point now, statement_work& work) -> void {
+    const auto id = std::exchange(work.connection, 0);
+    work_of_connection_.erase(id);
+    pool_.release(id, now);
+}
+
+auto session_proxy::implementation::on_server_opened(time_point now, connection_id id) -> void {
+    const auto* connection = pool_.find(id);
+    if (connection == nullptr) {
+        effects_.close_server(id);
+        return;
+    }
+    pool_.on_opened(id, now);
+    pump(now, connection->server.group);
+}
+
+auto session_proxy::implementation::on_server_lost(time_point now, connection_id id, connection_loss why) -> void {
+    const auto* connection = pool_.find(id);
+    if (connection == nullptr) {
+        return;
+    }
+    const auto server = connection->server;
+    const auto was_idle = connection->phase == connection_phase::idle;
+    pool_.remove(id);
+    ending_.erase(id);
+    probes_.erase(id);
+    auto& group = group_of(server.group);
+    if (why == connection_loss::no_room) {
+        pool_.on_no_room(server.id, now);
+    } else if (!was_idle) {
+        if (pool_.health(server.id).failures == 0) {
+            log(log_level::warning, log_event::server_unusable,
+                {{"server", server.id.value}, {"group", server.group.value}, {"why", std::string{name_of(why)}}});
+        }
+        pool_.on_failure(server.id, now);
+        if (server.id == group.primary.primary) {
+            group.experience.failed_at = now;
+        }
+    }
+    const auto owner = work_of_connection_.find(id);
+    if (owner != work_of_connection_.end()) {
+        auto& work = works_.at(owner->second);
+        work_of_connection_.erase(owner);
+        on_broken(now, work, name_of(why), work.stage == work_stage::running);
+    } else {
+        // A transaction whose connection is gone while it is idle was rolled back by the server.
+        for (auto& [caller, session] : sessions_) {
+            if (session.transaction && session.transaction->connection == id) {
+                session.transaction->connection = 0;
+                fail_transaction(now, session, {session_error::aborted, "the connection to the server was lost"});
+                break;
+            }
+        }
+    }
+    pump(now, server.group);
+}
+
+auto session_proxy::implementation::on_server_answer(time_point now, connection_id id, const session_answer& answer)
+    -> void {
+    auto* connection = pool_.find(id);
+    if (connection == nullptr) {
+        return;
+    }
+    const auto server = connection->server;
+    pool_.health(server.id).answered_at = now;
+    auto& group = group_of(server.group);
+    if (server.id == group.primary.primary) {
+        group.experience.answered_at = now;
+    }
+    if (ending_.erase(id) > 0) {
+        if (answer.error || answer.state != transaction_state::idle) {
+            close_connection(id);
+        } else {
+            pool_.release(id, now);
+        }
+        pump(now, server.group);
+        return;
+    }
+    const auto probe = probes_.find(id);
+    if (probe != probes_.end()) {
+        if (answer.reached && server.id == group.primary.primary && may_use_primary(now, group)) {
+            group.samples.add(probe->second, *answer.reached);
+        }
+        probes_.erase(probe);
+        pool_.release(id, now);
+        pump(now, server.group);
+        return;
+    }
+    const auto owner = work_of_connection_.find(id);
+    if (owner == work_of_connection_.end()) {
+        close_connection(id); // an answer to nothing
+        return;
+    }
+    auto& work = works_.at(owner->second);
+    if (work.stage == work_stage::preparing) {
+        on_prepared(now, work, answer);
+    } else {
+        on_result(now, work, answer);
+    }
+    pump(now, server.group);
+}
+
+auto session_proxy::implementation::on_prepared(time_point now, statement_work& work, const session_answer& answer)
+    -> void {
+    if (answer.error && !work.prepare_failure) {
+        work.prepare_failure = answer.error;
+    }
+    if (--work.preparing_left > 0) {
+        return;
+    }
+    const auto session = sessions_.find(work.caller);
+    if (session == sessions_.end()) {
+        // The caller left. Nothing of its statement was sent.
+        const auto id = work.connection;
+        work_of_connection_.erase(id);
+        works_.erase(work.id);
+        close_connection(id);
+        return;
+    }
+    if (!work.prepare_failure) {
+        if (sends_begin(work)) {
+            session->second.transaction->connection = work.connection;
+            session->second.transaction->generation = work.generation;
+            if (work.generation != 0) {
+                note_position(now, work, answer);
+            }
+        }
+        send(now, work);
+        return;
+    }
+    const auto code = work.prepare_failure->code;
+    const auto id = work.connection;
+    const auto had_begun = work.in_transaction && !sends_begin(work);
+    work_of_connection_.erase(id);
+    if (answer.state == transaction_state::idle && was_not_run(code)) {
+        work.connection = 0;
+        pool_.release(id, now);
+    } else {
+        work.connection = 0;
+        close_connection(id);
+    }
+    if (code == session_error::lagging) {
+        work.lagging.insert(work.server);
+        pool_.on_lagging(work.server, now);
+    } else if (code == session_error::read_only) {
+        group_of(work.route->group).experience.lost_lead = true;
+        pool_.health(work.server).usable_at = now + lost_lead_pause;
+    } else if (code == session_error::busy) {
+        pool_.health(work.server).usable_at = now + full_pause;
+    }
+    if (had_begun) {
+        sessions_.at(work.caller).transaction->connection = 0;
+        finish_with(now, work, session_error::aborted, "the server refused to continue the transaction");
+        return;
+    }
+    retry(now, work, name_of(code));
+}
+
+auto session_proxy::implementation::note_position(time_point /*now*/, const statement_work& work,
+                                                  const session_answer& answer) -> void {
+    auto& group = group_of(work.route->group);
+    if (work.generation != 0 && work.generation == group.primary.generation && answer.reached &&
+        !group.primary.changing) {
+        group.samples.add(work.sent_at, *answer.reached);
+    }
+}
+
+auto session_proxy::implementation::on_result(time_point now, statement_work& work, const session_answer& answer)
+    -> void {
+    pool_.on_answer(work.server, now - work.sent_at, now);
+    note_position(now, work, answer);
+    if (answer.error) {
+        on_refused(now, work, answer);
+        return;
+    }
+    auto& group = group_of(work.route->group);
+    const auto session = sessions_.find(work.caller);
+    const auto is_commit = work.statement.verb == session_verb::commit;
+    if (work.writes) {
+        // A primary that may have been replaced before it committed must not have its answer passed on.
+        const auto permitted_until = work.generation == group.primary.generation ? group.primary.permitted_until
+                                                                                 : work.permitted_until;
+        if (work.outlived_permission || now >= permitted_until) {
+            finish_with(now, work, session_error::in_doubt, "the primary may have been replaced before it committed");
+            return;
+        }
+        if (answer.reached) {
+            group.acknowledged = std::max(group.acknowledged.value_or(position{}), *answer.reached);
+            if (session != sessions_.end()) {
+                session->second.own_writes[work.route->group] = *answer.reached;
+            }
+        }
+    }
+    if (!work.in_transaction || is_commit) {
+        if (session != sessions_.end()) {
+            session->second.transaction.reset();
+        }
+        if (answer.state == transaction_state::idle) {
+            free_connection(now, work);
+        } else {
+            work_of_connection_.erase(work.connection);
+            close_connection(std::exchange(work.connection, 0));
+        }
+    } else {
+        work_of_connection_.erase(work.connection);
+        if (session == sessions_.end()) {
+            auto left = session_transaction{};
+            left.connection = work.connection;
+            drop_transaction_connection(now, left);
+        } else {
+            session->second.transaction->used_at = now;
+        }
+    }
+    finish(now, work, answer);
+}
+
+auto session_proxy::implementation::on_refused(time_point now, statement_work& work, const session_answer& answer)
+    -> void {
+    const auto code = answer.error->code;
+    auto& group = group_of(work.route->group);
+    if (code == session_error::lagging) {
+        work.lagging.insert(work.server);
+        pool_.on_lagging(work.server, now);
+    } else if (code == session_error::read_only && work.generation != 0) {
+        group.experience.lost_lead = true;
+        pool_.health(work.server).usable_at = now + lost_lead_pause;
+    } else if (code == session_error::busy) {
+        pool_.health(work.server).usable_at = now + full_pause;
+    }
+    if (work.in_transaction) {
+        const auto is_commit = work.statement.verb == session_verb::commit;
+        if (is_commit && work.writes && !was_not_run(code)) {
+            finish_with(now, work, session_error::in_doubt, answer.error->text);
+            return;
+        }
+        // The rest of the transaction cannot run; ending it is all that is left.
+        finish_with(now, work, promises_no_effect(code) ? session_error::aborted : code, answer.error->text);
+        return;
+    }
+    if (answer.state == transaction_state::idle) {
+        free_connection(now, work);
+    } else {
+        work_of_connection_.erase(work.connection);
+        close_connection(std::exchange(work.connection, 0));
+    }
+    if (work.caller == 0) {
+        works_.erase(work.id);
+        return;
+    }
+    if (was_not_run(code)) {
+        if (code == session_error::no_statement) {
+            finish_with(now, work, session_error::busy, "the prepared statement was lost; retry now");
+            return;
+        }
+        retry(now, work, name_of(code));
+    } else if (!work.writes && (code == session_error::failed || code == session_error::timed_out) &&
+               work.attempts < 2) {
+        work.tried.insert(work.server);
+        retry(now, work, name_of(code));
+    } else {
+        finish_with(now, work, code, answer.error->text);
+    }
+}
+
+auto session_proxy::implementation::on_broken(time_point now, statement_work& work, std::string_view why,
+                                              bool was_sent) -> void {
+    work.connection = 0;
+    if (work.caller == 0) {
+        works_.erase(work.id);
+        return;
+    }
+    auto& session = sessions_.at(work.caller);
+    const auto timed_out = now >= work.deadline;
+    if (work.in_transaction && session.transaction && session.transaction->connection != 0) {
+        // The server rolls back what it did not commit when it loses the connection.
+        session.transaction->connection = 0;
+        const auto in_doubt = was_sent && work.writes;
+        finish_with(now, work, in_doubt ? session_error::in_doubt : session_error::aborted,
+                    fmt::format("connection to the server: {}", why));
+        return;
+    }
+    if (was_sent && work.writes) {
+        finish_with(now, work, session_error::in_doubt, fmt::format("connection to the server: {}", why));
+        return;
+    }
+    if (timed_out) {
+        finish_with(now, work, was_sent ? session_error::timed_out : session_error::busy,
+                    "the statement timeout has passed; retry now");
+        return;
+    }
+    work.tried.insert(work.server);
+    retry(now, work, why);
+}
+
+auto session_proxy::implementation::finish_with(time_point now, statement_work& work, session_error code,
+                                                std::string text) -> void {
+    auto answer = session_answer{};
+    answer.error = session_failure{code, std::move(text)};
+    finish(now, work, std::move(answer));
+}
+
+auto session_proxy::implementation::finish(time_point now, statement_work& work, session_answer answer) -> void {
+    const auto it = sessions_.find(work.caller);
+    leave_queue(work);
+    if (it == sessions_.end()) {
+        works_.erase(work.id);
+        return;
+    }
+    auto& session = it->second;
+    session.work = 0;
+    log_outcome(now, work, answer);
+    counters_.count("citronlug_answers_total",
+                    {{"code", answer.error ? std::string{name_of(answer.error->code)} : std::string{"ok"}},
+                     {"kind", std::string{name_of(work.route->kind)}}});
+    counters_.observe("citronlug_statement_seconds", {{"kind", std::string{name_of(work.route->kind)}}},
+                      now - work.received);
+    const auto ends = work.statement.verb == session_verb::commit;
+    if (answer.error && (work.in_transaction || session.transaction)) {
+        if (work.connection != 0) {
+            work_of_connection_.erase(work.connection);
+        }
+        if (session.transaction && session.transaction->connection == 0) {
+            session.transaction->connection = work.connection;
+        }
+        fail_transaction(now, session, *answer.error);
+    } else if (work.connection != 0 && answer.error) {
+        work_of_connection_.erase(work.connection);
+        close_connection(work.connection);
+    }
+    if (ends) {
+        session.state = transaction_state::idle;
+    }
+    answer.state = session.state;
+    const auto id = work.id;
+    works_.erase(id);
+    effects_.answer_caller(session.id, answer);
+    after_answer(now, session);
+}
+
+auto session_proxy::implementation::log_outcome(time_point now, const statement_work& work,
+                                                const session_answer& answer) -> void {
+    const auto took = now - work.received;
+    const auto& group = group_of(work.route->group);
+    auto event = log_event::request_served;
+    auto level = log_level::debug;
+    if (answer.error) {
+        level = log_level::info;
+        event = answer.error->code == session_error::in_doubt  ? log_event::request_in_doubt
+                : promises_no_effect(answer.error->code) ? log_event::request_refused
+                                                         : log_event::request_failed;
+    } else if (took > work.route->latency_target * slow_part) {
+        level = log_level::info;
+        event = log_event::request_slow;
+    }
+    const auto sample = group.samples.newest_at();
+    log(level, event,
+        {{"request", work.statement.id},
+         {"session", std::to_string(work.caller)},
+         {"route", work.route->name},
+         {"verb", std::string{name_of(work.statement.verb)}},
+         {"code", answer.error ? std::string{name_of(answer.error->code)} : std::string{"ok"}},
+         {"why", answer.error ? answer.error->text : std::string{}},
+         {"stage", std::string{name_of(work.stage)}},
+         {"server", work.server.value},
+         {"attempts", std::to_string(work.attempts)},
+         {"took_ms", std::to_string(took / 1ms)},
+         {"at_server_ms", std::to_string(work.sent_at == time_point{} ? 0 : (now - work.sent_at) / 1ms)},
+         {"primary", group.primary.primary.value},
+         {"generation", std::to_string(group.primary.generation)},
+         {"permit_left_ms", std::to_string((group.primary.permitted_until - now) / 1ms)},
+         {"position_age_ms", sample ? std::to_string((now - *sample) / 1ms) : std::string{"none"}},
+         {"rules", std::to_string(rules_->version)}});
+}
+
+auto session_proxy::implementation::set_rules(time_point now, std::shared_ptr<const desired_state> rules) -> void {
+    if (rules->version <= rules_->version) {
+        return; // an older version never replaces a newer one
+    }
+    rules_ = std::move(rules);
+    log(log_level::info, log_event::rules_applied,
+        {{"version", std::to_string(rules_->version)},
+         {"routes", std::to_string(rules_->routes.size())},
+         {"accounts", std::to_string(rules_->accounts.size())}});
+    gate_.set_limits(now, *rules_);
+    set_budgets();
+    // Queued work of routes and keys that are gone is refused now; it has not run.
+    auto gone = std::vector<std::uint64_t>{};
+    for (const auto& [id, work] : works_) {
+        const auto session = sessions_.find(work.caller);
+        if (work.in_transaction || session == sessions_.end() ||
+            (work.stage != work_stage::queued && work.stage != work_stage::admission)) {
+            continue;
+        }
+        const auto route = rules_->route_of(session->second.database);
+        const auto account = rules_->account_of(session->second.key);
+        if (!route || route->group != work.route->group ||
+            (!route->open_to_all && (!account || *account != work.account))) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto id : gone) {
+        finish_with(now, works_.at(id), session_error::busy, "the rules have changed; retry now");
+    }
+}
+
+auto session_proxy::implementation::set_servers(time_point now, const std::vector<backend_server>& servers) -> void {
+    for (const auto id : pool_.set_servers(now, servers)) {
+        effects_.close_server(id);
+        on_server_lost(now, id, connection_loss::closed);
+    }
+    for (auto& [id, group] : groups_) {
+        pump(now, id);
+    }
+}
+
+auto session_proxy::implementation::set_instances(time_point /*now*/, std::uint32_t live) -> void {
+    instances_ = std::max(1U, live);
+    gate_.set_instances(instances_);
+    set_budgets();
+}
+
+auto session_proxy::implementation::set_budgets() -> void {
+    for (const auto& [id, group] : rules_->groups) {
+        pool_.set_budget(id, budget_of(group.server_connections, instances_));
+    }
+}
+
+auto session_proxy::implementation::set_primary(time_point now, const primary_view& view) -> void {
+    auto& group = group_of(view.group);
+    auto& known = group.primary;
+    if (view.generation < known.generation) {
+        return;
+    }
+    const auto is_new = view.generation > known.generation;
+    if (is_new || (view.changing && !known.changing)) {
+        log(log_level::info, log_event::primary_recorded,
+            {{"group", view.group.value},
+             {"primary", view.primary.value},
+             {"generation", std::to_string(view.generation)},
+             {"changing", view.changing ? "yes" : "no"}});
+        group.changing_since = now;
+        give_back_permission(now, view.group);
+    }
+    const auto opens = known.changing && !view.changing;
+    if (is_new && view.primary != known.primary) {
+        group.experience = {};
+    }
+    if (opens) {
+        // Positions of the old primary may not be part of the new one's log.
+        group.samples.clear();
+        group.experience = {};
+    }
+    known = view;
+    pump(now, view.group);
+}
+
+auto session_proxy::implementation::give_back_permission(time_point now, const group_id& group) -> void {
+    auto open = std::vector<caller_id>{};
+    for (const auto& [id, session] : sessions_) {
+        const auto& transaction = session.transaction;
+        if (transaction && transaction->route->group == group && transaction->generation != 0 && session.work == 0) {
+            open.push_back(id);
+        }
+    }
+    for (const auto id : open) {
+        fail_transaction(now, sessions_.at(id), {session_error::aborted, "the primary is being replaced"});
+    }
+}
+
+auto session_proxy::implementation::probe_primaries(time_point now) -> void {
+    for (auto& [id, group] : groups_) {
+        const auto newest = group.samples.newest_at();
+        const auto known_at = std::max(newest.value_or(time_point{}), group.probed_at);
+        if (!may_use_primary(now, group) || now - known_at < position_interval) {
+            continue;
+        }
+        const auto wanted = std::any_of(sessions_.begin(), sessions_.end(), [&](const auto& it) {
+            const auto route = rules_->route_of(it.second.database);
+            return route && route->group == id && route->kind != consistency::primary &&
+                   (it.second.work != 0 || now - it.second.idle_since < position_demand);
+        });
+        const auto* primary = pool_.server(group.primary.primary);
+        if (!wanted || primary == nullptr) {
+            continue;
+        }
+        const auto connection = pool_.acquire_any(primary->id, now);
+        if (connection == 0) {
+            continue;
+        }
+        group.probed_at = now;
+        probes_[connection] = now;
+        effects_.send_server(connection, {server_action::status, {}, {}, {}, {}, 0});
+    }
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/session_proxy.cpp
@@ -0,0 +1,445 @@
+#include "session_proxy_impl.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace citronlug {
+
+namespace {
+
+/// A session that stays idle this long while the instance leaves is closed.
+constexpr auto leaving_idle = duration{300ms};
+
+auto own_answer(transaction_state state) -> session_answer {
+    auto it = session_answer{};
+    it.state = state;
+    return it;
+}
+
+} // namespace
+
+session_proxy::implementation::implementation(failure_domain own_domain, session_effects& effects, metrics& counters)
+    : effects_{effects}
+    , counters_{counters}
+    , pool_{std::move(own_domain)}
+    , rules_{std::make_shared<desired_state>()} {}
+
+auto session_proxy::implementation::on_start(time_point now, caller_id caller, const std::string& database,
+                                             const std::string& key) -> void {
+    const auto route = rules_->route_of(database);
+    if (!route) {
+        log(log_level::info, log_event::session_rejected, {{"why", "no route"}, {"database", database}});
+        effects_.reject_caller(caller, {session_error::no_database, "no route has this database name"});
+        return;
+    }
+    const auto account = rules_->account_of(key);
+    if (!account && !route->open_to_all) {
+        log(log_level::info, log_event::session_rejected, {{"why", "unknown caller"}, {"database", database}});
+        effects_.reject_caller(caller, {session_error::unauthorised, "the key is not valid"});
+        return;
+    }
+    auto& session = sessions_[caller];
+    session.id = caller;
+    session.database = database;
+    session.key = key;
+    session.account = account.value_or(account_id{});
+    session.idle_since = now;
+    session.closing = leaving_;
+    counters_.count("citronlug_sessions_total");
+    effects_.accept_caller(caller);
+}
+
+auto session_proxy::implementation::on_caller_closed(time_point now, caller_id caller) -> void {
+    const auto it = sessions_.find(caller);
+    if (it == sessions_.end()) {
+        return;
+    }
+    auto& session = it->second;
+    auto group = group_id{};
+    if (session.work != 0) {
+        auto& work = works_.at(session.work);
+        group = work.route->group;
+        if (work.stage == work_stage::admission || work.stage == work_stage::queued) {
+            leave_queue(work);
+            works_.erase(work.id);
+        } else {
+            // The statement ends at the server; a transaction that it belongs to is rolled back then.
+            work.caller = 0;
+            if (session.transaction) {
+                session.transaction->connection = 0;
+            }
+        }
+    }
+    if (session.transaction) {
+        group = session.transaction->route->group;
+        drop_transaction_connection(now, *session.transaction);
+    }
+    sessions_.erase(it);
+    if (!group.empty()) {
+        pump(now, group);
+    }
+}
+
+auto session_proxy::implementation::on_statement(time_point now, caller_id caller, session_statement statement)
+    -> void {
+    const auto it = sessions_.find(caller);
+    if (it == sessions_.end()) {
+        return;
+    }
+    auto& session = it->second;
+    if (session.work != 0) {
+        // One statement at a time; the caller does not wait for its answers.
+        effects_.close_caller(caller);
+        return;
+    }
+    const auto verb = statement.verb;
+    const auto ends = verb == session_verb::commit || verb == session_verb::rollback;
+    if (session.state == transaction_state::failed && !ends) {
+        refuse(session, statement.id, {session_error::malformed, "the transaction has failed; roll it back"},
+               transaction_state::failed);
+        return;
+    }
+    switch (verb) {
+    case session_verb::begin:
+    case session_verb::begin_read:
+        begin(now, session, statement);
+        break;
+    case session_verb::commit:
+        commit(now, session, std::move(statement));
+        break;
+    case session_verb::rollback:
+        rollback(now, session);
+        break;
+    case session_verb::read:
+    case session_verb::write:
+    case session_verb::execute:
+        run(now, session, std::move(statement));
+        break;
+    case session_verb::set_value:
+    case session_verb::prepare_read:
+    case session_verb::prepare_write:
+    case session_verb::deallocate:
+        keep_value(session, std::move(statement));
+        break;
+    case session_verb::malformed:
+        if (session.transaction) {
+            fail_transaction(now, session, {session_error::malformed, "malformed statement"});
+        }
+        refuse(session, statement.id, {session_error::malformed, "malformed statement"}, session.state);
+        break;
+    }
+}
+
+auto session_proxy::implementation::acknowledge(caller_session& session) -> void {
+    effects_.answer_caller(session.id, own_answer(session.state));
+}
+
+auto session_proxy::implementation::refuse(caller_session& session, const std::string& request, session_failure why,
+                                           transaction_state next) -> void {
+    counters_.count("citronlug_answers_total", {{"code", std::string{name_of(why.code)}}});
+    log(log_level::info, log_event::request_refused,
+        {{"request", request},
+         {"session", std::to_string(session.id)},
+         {"code", std::string{name_of(why.code)}},
+         {"why", why.text},
+         {"rules", std::to_string(rules_->version)}});
+    session.state = next;
+    auto answer = own_answer(next);
+    answer.error = std::move(why);
+    effects_.answer_caller(session.id, answer);
+}
+
+auto session_proxy::implementation::authorise(time_point /*now*/, caller_session& session, const std::string& request)
+    -> std::shared_ptr<const session_route> {
+    auto route = rules_->route_of(session.database);
+    const auto account = rules_->account_of(session.key);
+    if (!route) {
+        refuse(session, request, {session_error::no_database, "the route was removed"}, transaction_state::idle);
+        effects_.close_caller(session.id);
+        return nullptr;
+    }
+    if (!route->open_to_all && (!account || *account != session.account)) {
+        refuse(session, request, {session_error::unauthorised, "the key was withdrawn"}, transaction_state::idle);
+        effects_.close_caller(session.id);
+        return nullptr;
+    }
+    session.account = account.value_or(account_id{});
+    return route;
+}
+
+auto session_proxy::implementation::begin(time_point now, caller_session& session, const session_statement& statement)
+    -> void {
+    if (session.state != transaction_state::idle) {
+        fail_transaction(now, session, {session_error::malformed, "a transaction is open already"});
+        refuse(session, statement.id, session.broken, transaction_state::failed);
+        return;
+    }
+    auto route = authorise(now, session, statement.id);
+    if (!route) {
+        return;
+    }
+    // A transaction costs one token, taken before it opens.
+    auto& work = start_work(now, session, statement, std::move(route));
+    admit(now, work);
+}
+
+auto session_proxy::implementation::open_transaction(time_point now, caller_session& session, bool reads_only,
+                                                     std::shared_ptr<const session_route> route) -> void {
+    auto transaction = session_transaction{};
+    transaction.route = std::move(route);
+    transaction.reads_only = reads_only;
+    transaction.begun_at = now;
+    transaction.used_at = now;
+    session.transaction = std::move(transaction);
+    session.state = transaction_state::open;
+}
+
+auto session_proxy::implementation::commit(time_point now, caller_session& session, session_statement statement)
+    -> void {
+    if (session.state == transaction_state::idle) {
+        refuse(session, statement.id, {session_error::malformed, "no transaction is open"}, transaction_state::idle);
+        return;
+    }
+    if (session.state == transaction_state::failed) {
+        refuse(session, statement.id, {session_error::aborted, "rolled back: " + session.broken.text},
+               transaction_state::idle);
+        after_answer(now, session);
+        return;
+    }
+    run(now, session, std::move(statement));
+}
+
+auto session_proxy::implementation::rollback(time_point now, caller_session& session) -> void {
+    auto group = group_id{};
+    if (session.transaction) {
+        group = session.transaction->route->group;
+        drop_transaction_connection(now, *session.transaction);
+        session.transaction.reset();
+    }
+    session.state = transaction_state::idle;
+    acknowledge(session);
+    after_answer(now, session);
+    if (!group.empty()) {
+        pump(now, group);
+    }
+}
+
+auto session_proxy::implementation::drop_transaction_connection(time_point now, session_transaction& transaction)
+    -> void {
+    const auto id = std::exchange(transaction.connection, 0);
+    if (id != 0 && pool_.find(id) != nullptr) {
+        // The connection is free for others once the server has answered the rollback.
+        ending_[id] = now;
+        effects_.send_server(id, {server_action::rollback, {}, {}, {}, {}, 0});
+    }
+}
+
+auto session_proxy::implementation::keep_value(caller_session& session, session_statement statement) -> void {
+    switch (statement.verb) {
+    case session_verb::set_value:
+        session.values[statement.name] = statement.body;
+        break;
+    case session_verb::deallocate:
+        session.statements.erase(statement.name);
+        break;
+    default:
+        session.statements[statement.name] = {statement.verb == session_verb::prepare_write, statement.body};
+        break;
+    }
+    acknowledge(session);
+}
+
+auto session_proxy::implementation::run(time_point now, caller_session& session, session_statement statement) -> void {
+    if (statement.verb == session_verb::execute && !session.statements.contains(statement.name)) {
+        if (session.transaction) {
+            fail_transaction(now, session, {session_error::no_statement, "no such prepared statement"});
+        }
+        refuse(session, statement.id, {session_error::no_statement, "no such prepared statement"}, session.state);
+        return;
+    }
+    if (!session.transaction) {
+        auto route = authorise(now, session, statement.id);
+        if (route) {
+            admit(now, start_work(now, session, std::move(statement), std::move(route)));
+        }
+        return;
+    }
+    // An open transaction keeps its route, but not a key that was withdrawn meanwhile.
+    const auto& route = session.transaction->route;
+    const auto account = rules_->account_of(session.key);
+    if (!route->open_to_all && (!account || *account != session.account)) {
+        const auto next = statement.verb == session_verb::commit ? transaction_state::idle : transaction_state::failed;
+        fail_transaction(now, session, {session_error::unauthorised, "the key was withdrawn"});
+        refuse(session, statement.id, session.broken, next);
+        return;
+    }
+    auto& work = start_work(now, session, std::move(statement), route);
+    if (work.connection == 0) {
+        enqueue(now, work);
+    } else {
+        prepare(now, work);
+    }
+}
+
+auto session_proxy::implementation::fail_transaction(time_point now, caller_session& session, session_failure why)
+    -> void {
+    auto group = group_id{};
+    if (session.transaction) {
+        group = session.transaction->route->group;
+        drop_transaction_connection(now, *session.transaction);
+        session.transaction.reset();
+    }
+    log(log_level::info, log_event::transaction_ended,
+        {{"session", std::to_string(session.id)}, {"code", std::string{name_of(why.code)}}, {"why", why.text}});
+    session.broken = std::move(why);
+    session.state = transaction_state::failed;
+    if (!group.empty()) {
+        pump(now, group);
+    }
+}
+
+auto session_proxy::implementation::after_answer(time_point now, caller_session& session) -> void {
+    session.idle_since = now;
+    if (session.closing && session.state == transaction_state::idle) {
+        effects_.close_caller(session.id);
+    }
+}
+
+auto session_proxy::implementation::begin_leaving(time_point now, duration transaction_time) -> void {
+    leaving_ = true;
+    leaving_at_ = now;
+    leaving_transactions_ = transaction_time;
+    for (auto& [id, session] : sessions_) {
+        session.closing = true;
+    }
+}
+
+auto session_proxy::implementation::close_sessions(time_point now) -> void {
+    auto idle = std::vector<caller_id>{};
+    for (auto& [id, session] : sessions_) {
+        const auto& transaction = session.transaction;
+        if (transaction && session.work == 0 &&
+            (now - transaction->used_at > rules_->transaction_idle ||
+             (leaving_ && now - leaving_at_ > leaving_transactions_))) {
+            fail_transaction(now, session,
+                             {session_error::aborted, leaving_ ? "the instance is leaving" : "idle for too long"});
+        }
+        if (session.closing && session.work == 0 && session.state == transaction_state::idle &&
+            now - std::max(session.idle_since, leaving_at_) >= leaving_idle) {
+            idle.push_back(id);
+        }
+    }
+    for (const auto id : idle) {
+        effects_.close_caller(id);
+    }
+}
+
+// Public interface.
+
+session_proxy::session_proxy(failure_domain own_domain, session_effects& effects, metrics& counters)
+    : impl_{std::make_unique<implementation>(std::move(own_domain), effects, counters)} {}
+
+session_proxy::~session_proxy() = default;
+
+auto session_proxy::set_rules(time_point now, std::shared_ptr<const desired_state> rules) -> void {
+    impl_->set_rules(now, std::move(rules));
+}
+
+auto session_proxy::set_servers(time_point now, const std::vector<backend_server>& servers) -> void {
+    impl_->set_servers(now, servers);
+}
+
+auto session_proxy::set_primary(time_point now, const primary_view& view) -> void {
+    impl_->set_primary(now, view);
+}
+
+auto session_proxy::set_instances(time_point now, std::uint32_t live) -> void {
+    impl_->set_instances(now, live);
+}
+
+auto session_proxy::seal_positions(time_point now, const group_id& group, position at) -> void {
+    impl_->group_of(group).samples.seal(at);
+    impl_->pump(now, group);
+}
+
+auto session_proxy::add_position(time_point now, const group_id& group, time_point asked_at, position at) -> void {
+    impl_->group_of(group).samples.add(asked_at, at);
+    impl_->pump(now, group);
+}
+
+auto session_proxy::on_start(time_point now, caller_id caller, const std::string& database, const std::string& key)
+    -> void {
+    impl_->on_start(now, caller, database, key);
+}
+
+auto session_proxy::on_statement(time_point now, caller_id caller, session_statement statement) -> void {
+    impl_->on_statement(now, caller, std::move(statement));
+}
+
+auto session_proxy::on_caller_closed(time_point now, caller_id caller) -> void {
+    impl_->on_caller_closed(now, caller);
+}
+
+auto session_proxy::on_server_opened(time_point now, connection_id connection) -> void {
+    impl_->on_server_opened(now, connection);
+}
+
+auto session_proxy::on_server_lost(time_point now, connection_id connection, connection_loss why) -> void {
+    impl_->on_server_lost(now, connection, why);
+}
+
+auto session_proxy::on_server_answer(time_point now, connection_id connection, const session_answer& answer) -> void {
+    impl_->on_server_answer(now, connection, answer);
+}
+
+auto session_proxy::gate() -> account_gate& {
+    return impl_->gate_;
+}
+
+auto session_proxy::on_tokens(time_point now) -> void {
+    const auto waiting = std::exchange(impl_->waiting_for_tokens_, {});
+    for (const auto id : waiting) {
+        const auto it = impl_->works_.find(id);
+        if (it != impl_->works_.end()) {
+            impl_->admit(now, it->second);
+        }
+    }
+}
+
+auto session_proxy::on_tick(time_point now) -> void {
+    impl_->on_tick(now);
+}
+
+auto session_proxy::begin_leaving(time_point now, duration transaction_time) -> void {
+    impl_->begin_leaving(now, transaction_time);
+}
+
+auto session_proxy::open_sessions() const -> std::size_t {
+    return impl_->sessions_.size();
+}
+
+auto session_proxy::has_released(const group_id& group, std::uint64_t generation) const -> bool {
+    return std::none_of(impl_->works_.begin(), impl_->works_.end(), [&](const auto& it) {
+        const auto& work = it.second;
+        return work.stage == work_stage::running && work.writes && !work.outlived_permission &&
+               work.route->group == group && work.generation != 0 && work.generation < generation;
+    });
+}
+
+auto session_proxy::newest_acknowledged(const group_id& group) const -> std::optional<position> {
+    return impl_->group_of(group).acknowledged;
+}
+
+auto session_proxy::experience_of(const group_id& group) const -> primary_experience {
+    return impl_->group_of(group).experience;
+}
+
+auto session_proxy::newest_sample(const group_id& group) const -> std::optional<std::pair<time_point, position>> {
+    const auto& samples = impl_->group_of(group).samples;
+    const auto at = samples.newest_at();
+    const auto newest = samples.newest();
+    return at && newest ? std::optional{std::pair{*at, *newest}} : std::nullopt;
+}
+
+} // namespace citronlug
