--- /dev/null
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include <citronlug/plugin.h>
+#include <citronlug/queue_policy.h>
+#include <citronlug/read_freshness.h>
+#include <citronlug/server_pool.h>
+#include <citronlug/session_proxy.h>
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace citronlug {
+
+/// An open transaction of a caller.
+struct session_transaction {
+    std::shared_ptr<const session_route> route;
+    bool reads_only = false;
+    time_point begun_at;
+    time_point used_at;           ///< end of its last statement
+    connection_id connection = 0; ///< 0 until its first statement
+    std::uint64_t generation = 0; ///< of the primary that it runs at; 0 at a replica
+    bool wrote = false;
+};
+
+struct caller_session {
+    caller_id id = 0;
+    std::string database;
+    std::string key;
+    account_id account;
+    transaction_state state = transaction_state::idle;
+    session_failure broken;                                              ///< why the transaction failed
+    std::map<std::string, std::string> values;
+    std::map<std::string, std::pair<bool, std::string>> statements;      ///< name -> writes?, shape
+    std::map<group_id, position> own_writes;                             ///< of acknowledged writes
+    std::optional<session_transaction> transaction;
+    std::uint64_t work = 0; ///< statement under way; 0: none
+    bool closing = false;   ///< closed as soon as it is idle
+    time_point idle_since;
+};
+
+/// How far a statement has come.
+enum class work_stage {
+    admission, ///< waits for a token of its client account
+    queued,    ///< waits for a connection
+    preparing, ///< the connection is being given the session's state
+    running,   ///< sent to the server
+};
+
+template <>
+struct name_table<work_stage> {
+    static constexpr std::array<std::string_view, 4> names{"admission", "queued", "preparing", "running"};
+};
+
+/// One statement of a caller on its way.
+struct statement_work {
+    std::uint64_t id = 0;
+    caller_id caller = 0; ///< 0 once the caller is gone
+    session_statement statement;
+    std::shared_ptr<const session_route> route;
+    account_id account;
+    time_point received;
+    time_point deadline;       ///< of the route's statement timeout
+    time_point give_up_queued; ///< refused as not run if it has no connection by then
+    work_stage stage = work_stage::admission;
+    bool writes = false;        ///< has an effect once it is sent
+    bool needs_primary = false;
+    bool in_transaction = false;
+    connection_id connection = 0;
+    server_id server;
+    std::size_t preparing_left = 0;
+    std::optional<session_failure> prepare_failure;
+    time_point sent_at;
+    std::uint64_t generation = 0; ///< of the primary that it was sent to; 0 at a replica
+    time_point permitted_until;       ///< of that generation, as known when it was sent
+    bool outlived_permission = false; ///< the permission was given back while it ran
+    std::set<server_id> tried;
+    std::set<server_id> lagging; ///< lacked the position
+    std::uint32_t attempts = 0;
+    connection_id opening = 0; ///< connection that is being opened for it
+};
+
+/// What is known of one group.
+struct group_state {
+    primary_view primary;
+    position_samples samples;
+    std::optional<position> acknowledged; ///< newest position of a write acknowledged here
+    session_proxy::primary_experience experience;
+    std::map<int, std::unique_ptr<queue_policy>> queues; ///< by priority of the route
+    time_point permit_missing_since;                      ///< zero while there is a permission
+    time_point changing_since;
+    time_point probed_at;
+};
+
+class session_proxy::implementation {
+public:
+    implementation(failure_domain own_domain, session_effects& effects, metrics& counters);
+
+    // Sessions.
+    auto on_start(time_point now, caller_id caller, const std::string& database, const std::string& key) -> void;
+    auto on_statement(time_point now, caller_id caller, session_statement statement) -> void;
+    auto on_caller_closed(time_point now, caller_id caller) -> void;
+    auto begin(time_point now, caller_session& session, const session_statement& statement) -> void;
+    auto open_transaction(time_point now, caller_session& session, bool reads_only,
+                          std::shared_ptr<const session_route> route) -> void;
+    auto commit(time_point now, caller_session& session, session_statement statement) -> void;
+    auto rollback(time_point now, caller_session& session) -> void;
+    auto run(time_point now, caller_session& session, session_statement statement) -> void;
+    auto keep_value(caller_session& session, session_statement statement) -> void;
+    /// The route and account of the next operation of the session; answers the caller if there are none.
+    auto authorise(time_point now, caller_session& session, const std::string& request)
+        -> std::shared_ptr<const session_route>;
+    auto acknowledge(caller_session& session) -> void;
+    auto refuse(caller_session& session, const std::string& request, session_failure why, transaction_state next)
+        -> void;
+    auto after_answer(time_point now, caller_session& session) -> void;
+    auto fail_transaction(time_point now, caller_session& session, session_failure why) -> void;
+    auto drop_transaction_connection(time_point now, session_transaction& transaction) -> void;
+
+    // Statements.
+    auto start_work(time_point now, caller_session& session, session_statement statement,
+                    std::shared_ptr<const session_route> route) -> statement_work&;
+    auto admit(time_point now, statement_work& work) -> void;
+    auto enqueue(time_point now, statement_work& work) -> void;
+    auto pump(time_point now, const group_id& group) -> void;
+    auto try_place(time_point now, statement_work& work) -> start_check;
+    auto candidates_of(time_point now, const statement_work& work) -> std::vector<const backend_server*>;
+    auto need_of(time_point now, const statement_work& work) -> read_need;
+    auto may_use_primary(time_point now, const group_state& group) const -> bool;
+    auto prepare(time_point now, statement_work& work) -> void;
+    auto send(time_point now, statement_work& work) -> void;
+    auto sends_begin(const statement_work& work) -> bool;
+    auto leave_queue(statement_work& work) -> void;
+    auto retry(time_point now, statement_work& work, std::string_view why) -> void;
+    auto expire(time_point now, statement_work& work) -> void;
+
+    // Answers.
+    auto on_server_opened(time_point now, connection_id id) -> void;
+    auto on_server_lost(time_point now, connection_id id, connection_loss why) -> void;
+    auto on_server_answer(time_point now, connection_id id, const session_answer& answer) -> void;
+    auto on_prepared(time_point now, statement_work& work, const session_answer& answer) -> void;
+    auto on_result(time_point now, statement_work& work, const session_answer& answer) -> void;
+    auto on_refused(time_point now, statement_work& work, const session_answer& answer) -> void;
+    auto on_broken(time_point now, statement_work& work, std::string_view why, bool was_sent) -> void;
+    auto note_position(time_point now, const statement_work& work, const session_answer& answer) -> void;
+    /// Gives the caller its answer and ends the work. A failed answer inside a transaction ends the transaction.
+    auto finish(time_point now, statement_work& work, session_answer answer) -> void;
+    auto finish_with(time_point now, statement_work& work, session_error code, std::string text) -> void;
+    auto free_connection(time_point now, statement_work& work) -> void;
+    auto close_connection(connection_id id) -> void;
+
+    // State of others.
+    auto set_rules(time_point now, std::shared_ptr<const desired_state> rules) -> void;
+    auto set_servers(time_point now, const std::vector<backend_server>& servers) -> void;
+    auto set_primary(time_point now, const primary_view& view) -> void;
+    auto set_instances(time_point now, std::uint32_t live) -> void;
+    auto set_budgets() -> void;
+    auto give_back_permission(time_point now, const group_id& group) -> void;
+    auto on_tick(time_point now) -> void;
+    auto probe_primaries(time_point now) -> void;
+    auto close_sessions(time_point now) -> void;
+    auto begin_leaving(time_point now, duration transaction_time) -> void;
+
+    [[nodiscard]] auto group_of(const group_id& id) -> group_state& { return groups_[id]; }
+    auto log(log_level level, log_event event, const std::vector<log_field>& fields) -> void {
+        effects_.log(level, event, fields);
+    }
+    auto log_outcome(time_point now, const statement_work& work, const session_answer& answer) -> void;
+
+    session_effects& effects_;
+    metrics& counters_;
+    server_pool pool_;
+    account_gate gate_;
+    std::shared_ptr<const desired_state> rules_;
+    std::map<group_id, group_state> groups_;
+    std::unordered_map<caller_id, caller_session> sessions_;
+    std::unordered_map<std::uint64_t, statement_work> works_;
+    std::map<connection_id, std::uint64_t> work_of_connection_;
+    std::map<connection_id, time_point> ending_; ///< connections whose rollback or reset is under way
+    std::map<connection_id, time_point> probes_; ///< connections that wait for a status, and when it was asked for
+    std::set<std::uint64_t> waiting_for_tokens_;
+    std::uint64_t next_work_ = 1;
+    std::uint32_t instances_ = 1;
+    double retry_tokens_ = 0;
+    bool leaving_ = false;
+    time_point leaving_at_;
+    duration leaving_transactions_{};
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/session_settings.cpp
@@ -0,0 +1,40 @@
+#include <citronlug/session_settings.h>
+
+#include "numbers.h"
+#include "settings_reader.h"
+
+#include <QJsonDocument>
+
+namespace citronlug {
+
+auto parse_session_settings(const std::string& text) -> std::variant<session_settings, std::vector<setting_error>> {
+    auto problem = QJsonParseError{};
+    const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(text), &problem);
+    if (!document.isObject()) {
+        return std::vector<setting_error>{
+            {"", fmt::format("is not a JSON object: {} at byte {}", problem.errorString().toStdString(),
+                             problem.offset),
+             "one JSON object"}};
+    }
+    auto errors = std::vector<setting_error>{};
+    auto in = object_reader{document.object(), "", errors};
+    auto found = session_settings{};
+    found.instance.value = in.text("instance", is_name, name_form);
+    found.domain.value = in.text("failure_domain", is_name, name_form);
+    found.caller_address = in.text("caller_address", is_address, address_form);
+    found.ready_address = in.text("ready_address", is_address, address_form);
+    found.peer_address = in.text("peer_address", is_address, address_form);
+    found.metrics_address = in.text("metrics_address", is_address, address_form);
+    found.store_address = in.text("store_address", is_address, address_form);
+    found.promotion_address = in.text("promotion_address", is_address, address_form);
+    found.leave_time = std::chrono::seconds{in.number("leave_seconds", found.leave_time / 1s, 2, 3600)};
+    found.callers = static_cast<int>(in.number("callers", found.callers, 1, 1'000'000));
+    found.log_lines_per_s = static_cast<int>(in.number("log_lines_per_s", found.log_lines_per_s, 0, 100'000));
+    in.refuse_unknown();
+    if (!errors.empty()) {
+        return errors;
+    }
+    return found;
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/session_statements.cpp
@@ -0,0 +1,436 @@
+#include "session_proxy_impl.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace citronlug {
+
+namespace {
+
+/// Longest wait of an operation for a token of its client account. An account above its rate is refused soon, so that
+/// its callers can slow down.
+constexpr auto token_wait = duration{100ms};
+/// Part of the statement timeout that a statement may wait for a connection; the rest is for running it, or for the
+/// caller to try another instance.
+constexpr auto queue_part = 0.6;
+/// Attempts to place one statement after servers refused or lost it.
+constexpr auto most_attempts = std::uint32_t{4};
+/// Retries that a statement earns, and the most that are saved up: repeated work stays a bounded part of all work.
+constexpr auto retries_per_statement = 0.2;
+constexpr auto most_saved_retries = 50.0;
+/// Reads go to the primary, which alone serves writes, if the replicas are this much slower.
+constexpr auto primary_reserve = duration{25ms};
+/// A read is sent to another server if its own has answered nothing at all for this time.
+constexpr auto read_silence = duration{400ms};
+/// A connection that is not open by then counts as failed.
+constexpr auto opening_limit = duration{600ms};
+/// A rollback or status that is not answered by then ends the connection.
+constexpr auto ending_limit = duration{1s};
+/// A write under way when its primary is being replaced may still be acknowledged for this time; then the permission is
+/// given back and the outcome of the write is in doubt.
+constexpr auto release_grace = duration{300ms};
+/// Expected service time of a statement before one was measured.
+constexpr auto usual_service = duration{30ms};
+
+auto lane_of(const statement_work& work) -> queue_lane {
+    if (work.needs_primary) {
+        return work.writes || work.in_transaction ? queue_lane::write : queue_lane::fresh_read;
+    }
+    return queue_lane::replica_read;
+}
+
+} // namespace
+
+auto session_proxy::implementation::start_work(time_point now, caller_session& session, session_statement statement,
+                                               std::shared_ptr<const session_route> route) -> statement_work& {
+    const auto id = next_work_++;
+    auto& work = works_[id];
+    work.id = id;
+    work.caller = session.id;
+    work.route = std::move(route);
+    work.account = session.account;
+    work.received = now;
+    work.deadline = now + work.route->statement_timeout;
+    work.give_up_queued = now + std::chrono::duration_cast<duration>(work.route->statement_timeout * queue_part);
+    const auto verb = statement.verb;
+    const auto is_write =
+        verb == session_verb::write ||
+        (verb == session_verb::execute && session.statements.at(statement.name).first);
+    if (session.transaction) {
+        auto& transaction = *session.transaction;
+        work.in_transaction = true;
+        work.connection = transaction.connection;
+        work.generation = transaction.generation;
+        work.needs_primary = !transaction.reads_only || work.route->kind == consistency::primary;
+        work.writes = verb == session_verb::commit && transaction.wrote;
+        if (const auto* connection = pool_.find(work.connection)) {
+            work.server = connection->server.id;
+        }
+    } else {
+        work.writes = is_write;
+        work.needs_primary = is_write || work.route->kind == consistency::primary;
+    }
+    work.statement = std::move(statement);
+    session.work = id;
+    retry_tokens_ = std::min(most_saved_retries, retry_tokens_ + retries_per_statement);
+    return work;
+}
+
+auto session_proxy::implementation::admit(time_point now, statement_work& work) -> void {
+    const auto deadline = work.received + std::min(token_wait, work.route->statement_timeout);
+    const auto outcome =
+        work.route->open_to_all ? admission::admitted : gate_.admit(now, work.account, deadline);
+    switch (outcome) {
+    case admission::admitted:
+        break;
+    case admission::ask:
+        waiting_for_tokens_.insert(work.id);
+        effects_.questions_waiting();
+        return;
+    case admission::wait:
+        waiting_for_tokens_.insert(work.id);
+        return;
+    case admission::refused:
+        finish_with(now, work, session_error::busy, "the client account is over its rate; retry in 1 s");
+        return;
+    }
+    const auto verb = work.statement.verb;
+    if (verb != session_verb::begin && verb != session_verb::begin_read) {
+        enqueue(now, work);
+        return;
+    }
+    auto& session = sessions_.at(work.caller);
+    session.work = 0;
+    open_transaction(now, session, verb == session_verb::begin_read, work.route);
+    works_.erase(work.id);
+    acknowledge(session);
+}
+
+auto session_proxy::implementation::enqueue(time_point now, statement_work& work) -> void {
+    work.stage = work_stage::queued;
+    work.connection = 0;
+    const auto group = work.route->group;
+    auto& queue = group_of(group).queues[work.route->priority];
+    if (!queue) {
+        queue = plugin_registry<queue_policy>::make("fair");
+    }
+    if (!queue->push({work.id, work.account, lane_of(work), usual_service})) {
+        finish_with(now, work, session_error::busy, "too many statements wait; retry in 500 ms");
+        return;
+    }
+    pump(now, group);
+}
+
+auto session_proxy::implementation::leave_queue(statement_work& work) -> void {
+    waiting_for_tokens_.erase(work.id);
+    if (work.stage == work_stage::queued) {
+        const auto& queue = group_of(work.route->group).queues[work.route->priority];
+        if (queue) {
+            queue->remove(work.id);
+        }
+    }
+}
+
+auto session_proxy::implementation::pump(time_point now, const group_id& group) -> void {
+    auto& state = group_of(group);
+    for (auto& [priority, queue] : state.queues) {
+        while (queue && queue->size() > 0) {
+            const auto next =
+                queue->take([&](std::uint64_t id) { return try_place(now, works_.at(id)); });
+            if (!next) {
+                break;
+            }
+            prepare(now, works_.at(*next));
+        }
+    }
+}
+
+auto session_proxy::implementation::may_use_primary(time_point now, const group_state& group) const -> bool {
+    return !group.primary.primary.empty() && !group.primary.changing && now < group.primary.permitted_until;
+}
+
+auto session_proxy::implementation::need_of(time_point now, const statement_work& work) -> read_need {
+    auto own = std::optional<position>{};
+    const auto session = sessions_.find(work.caller);
+    if (session != sessions_.end()) {
+        const auto it = session->second.own_writes.find(work.route->group);
+        if (it != session->second.own_writes.end()) {
+            own = it->second;
+        }
+    }
+    return need_of_read(*work.route, group_of(work.route->group).samples, own, now);
+}
+
+auto session_proxy::implementation::candidates_of(time_point now, const statement_work& work)
+    -> std::vector<const backend_server*> {
+    auto& group = group_of(work.route->group);
+    const auto permitted = may_use_primary(now, group);
+    if (work.needs_primary) {
+        const auto* primary = permitted ? pool_.server(group.primary.primary) : nullptr;
+        return primary != nullptr ? std::vector{primary} : std::vector<const backend_server*>{};
+    }
+    const auto by_replica = need_of(now, work).any_replica;
+    auto found = std::vector<std::pair<duration, const backend_server*>>{};
+    for (const auto* it : pool_.servers_of(work.route->group)) {
+        const auto is_primary = permitted && it->id == group.primary.primary;
+        if (work.tried.contains(it->id) ||
+            (!is_primary && (!by_replica || work.lagging.contains(it->id) || pool_.health(it->id).current_at > now))) {
+            continue;
+        }
+        if (const auto time = pool_.estimate(*it, work.account, now)) {
+            found.emplace_back(*time + (is_primary ? primary_reserve : duration{}), it);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    auto ordered = std::vector<const backend_server*>{};
+    for (const auto& [time, it] : found) {
+        ordered.push_back(it);
+    }
+    return ordered;
+}
+
+auto session_proxy::implementation::try_place(time_point now, statement_work& work) -> start_check {
+    if (work.needs_primary && !may_use_primary(now, group_of(work.route->group))) {
+        return start_check::blocked;
+    }
+    const auto* opening = pool_.find(work.opening);
+    const auto may_open = opening == nullptr || opening->phase != connection_phase::opening;
+    const auto session = sessions_.find(work.caller);
+    if (session == sessions_.end()) {
+        return start_check::skip;
+    }
+    for (const auto* server : candidates_of(now, work)) {
+        const auto placed = pool_.acquire(*server, work.account, session->second.values, may_open, now);
+        if (placed.evicted != 0) {
+            effects_.close_server(placed.evicted);
+        }
+        if (placed.result == placement_result::ready) {
+            work.connection = placed.connection;
+            work.server = server->id;
+            work.stage = work_stage::preparing;
+            work_of_connection_[placed.connection] = work.id;
+            return start_check::start;
+        }
+        if (placed.result == placement_result::opening) {
+            work.opening = placed.connection;
+            effects_.open_server(placed.connection, *server, work.account);
+            return start_check::skip;
+        }
+    }
+    return start_check::skip;
+}
+
+auto session_proxy::implementation::sends_begin(const statement_work& work) -> bool {
+    const auto it = sessions_.find(work.caller);
+    return it != sessions_.end() && it->second.transaction && it->second.transaction->connection == 0;
+}
+
+auto session_proxy::implementation::prepare(time_point now, statement_work& work) -> void {
+    auto* connection = pool_.find(work.connection);
+    auto& session = sessions_.at(work.caller);
+    auto& group = group_of(work.route->group);
+    work.stage = work_stage::preparing;
+    work_of_connection_[work.connection] = work.id;
+    work.prepare_failure.reset();
+    auto requests = std::vector<server_request>{};
+    const auto foreign = std::any_of(connection->values.begin(), connection->values.end(),
+                                     [&](const auto& it) { return !session.values.contains(it.first); });
+    if (foreign) {
+        requests.push_back({server_action::reset, {}, {}, {}, {}, 0});
+        connection->values.clear();
+        connection->statements.clear();
+    }
+    for (const auto& [name, value] : session.values) {
+        const auto it = connection->values.find(name);
+        if (it == connection->values.end() || it->second != value) {
+            requests.push_back({server_action::set_value, {}, value, name, {}, 0});
+            connection->values[name] = value;
+        }
+    }
+    if (work.statement.verb == session_verb::execute) {
+        const auto& shape = session.statements.at(work.statement.name);
+        auto& name = connection->statements[shape];
+        if (name.empty()) {
+            name = fmt::format("p{}", connection->next_statement++);
+            requests.push_back({shape.first ? server_action::prepare_write : server_action::prepare_read, {},
+                                shape.second, name, {}, 0});
+        }
+    }
+    if (sends_begin(work)) {
+        const auto& transaction = *session.transaction;
+        const auto at_primary = may_use_primary(now, group) && work.server == group.primary.primary;
+        const auto need = at_primary ? read_need{} : need_of(now, work);
+        if (!at_primary && (work.needs_primary || !need.any_replica)) {
+            free_connection(now, work);
+            enqueue(now, work);
+            return;
+        }
+        work.generation = at_primary ? group.primary.generation : 0;
+        work.sent_at = now;
+        requests.push_back({transaction.reads_only ? server_action::begin_read : server_action::begin, {}, {}, {},
+                            need.after, 0});
+    }
+    work.preparing_left = requests.size();
+    if (requests.empty()) {
+        send(now, work);
+        return;
+    }
+    for (const auto& it : requests) {
+        effects_.send_server(work.connection, it);
+    }
+}
+
+auto session_proxy::implementation::send(time_point now, statement_work& work) -> void {
+    auto& session = sessions_.at(work.caller);
+    auto& group = group_of(work.route->group);
+    const auto permitted = may_use_primary(now, group);
+    auto request = server_request{};
+    request.id = work.statement.id;
+    if (work.in_transaction) {
+        auto& transaction = *session.transaction;
+        if (transaction.generation != 0 && (!permitted || transaction.generation != group.primary.generation)) {
+            finish_with(now, work, session_error::aborted, "the primary is being replaced; retry in 500 ms");
+            return;
+        }
+        const auto writes = work.statement.verb == session_verb::write ||
+                            (work.statement.verb == session_verb::execute &&
+                             session.statements.at(work.statement.name).first);
+        transaction.wrote = transaction.wrote || writes;
+    } else {
+        const auto at_primary = permitted && work.server == group.primary.primary;
+        const auto need = at_primary ? read_need{} : need_of(now, work);
+        if (!at_primary && (work.needs_primary || !need.any_replica)) {
+            // The permission or the evidence ran out while the connection was prepared.
+            free_connection(now, work);
+            enqueue(now, work);
+            return;
+        }
+        work.generation = at_primary ? group.primary.generation : 0;
+        request.after = need.after;
+    }
+    if (work.statement.verb == session_verb::execute) {
+        const auto* connection = pool_.find(work.connection);
+        request.action = server_action::execute;
+        request.name = connection->statements.at(session.statements.at(work.statement.name));
+        request.text = work.statement.body;
+    } else {
+        request.action = server_action::forward;
+        request.text = work.statement.text;
+    }
+    work.stage = work_stage::running;
+    work.sent_at = now;
+    work.permitted_until = group.primary.permitted_until;
+    ++work.attempts;
+    effects_.send_server(work.connection, request);
+}
+
+auto session_proxy::implementation::retry(time_point now, statement_work& work, std::string_view why) -> void {
+    counters_.count("citronlug_retries_total", {{"why", std::string{why}}});
+    log(log_level::info, log_event::request_retried,
+        {{"request", work.statement.id},
+         {"server", work.server.value},
+         {"why", std::string{why}},
+         {"attempts", std::to_string(work.attempts)},
+         {"waited_ms", std::to_string((now - work.received) / 1ms)}});
+    if (work.attempts >= most_attempts || now >= work.give_up_queued || retry_tokens_ < 1) {
+        finish_with(now, work, session_error::busy, fmt::format("{}; retry in 300 ms", why));
+        return;
+    }
+    retry_tokens_ -= 1;
+    enqueue(now, work);
+}
+
+auto session_proxy::implementation::expire(time_point now, statement_work& work) -> void {
+    switch (work.stage) {
+    case work_stage::admission:
+        if (now >= work.received + token_wait) {
+            finish_with(now, work, session_error::busy, "the client account is over its rate; retry in 1 s");
+        }
+        return;
+    case work_stage::queued:
+        if (now >= work.give_up_queued) {
+            const auto without_primary = work.needs_primary && !may_use_primary(now, group_of(work.route->group));
+            finish_with(now, work, session_error::busy,
+                        without_primary ? "no primary may be used now; retry in 500 ms"
+                                        : "no connection is free; retry in 300 ms");
+        }
+        return;
+    case work_stage::preparing:
+    case work_stage::running: {
+        const auto silent = pool_.health(work.server).answered_at < work.sent_at && now - work.sent_at > read_silence;
+        const auto movable = work.stage == work_stage::running && !work.writes && !work.in_transaction;
+        if (now >= work.deadline || (movable && silent && now < work.give_up_queued)) {
+            const auto id = work.connection;
+            const auto was_sent = work.stage == work_stage::running;
+            work_of_connection_.erase(id);
+            close_connection(id);
+            pool_.on_failure(work.server, now);
+            on_broken(now, work, now >= work.deadline ? "timeout" : "silent", was_sent);
+        }
+        return;
+    }
+    }
+}
+
+auto session_proxy::implementation::on_tick(time_point now) -> void {
+    auto ids = std::vector<std::uint64_t>{};
+    for (const auto& [id, work] : works_) {
+        ids.push_back(id);
+    }
+    for (const auto id : ids) {
+        const auto it = works_.find(id);
+        if (it == works_.end()) {
+            continue;
+        }
+        if (it->second.stage == work_stage::admission && waiting_for_tokens_.erase(id) > 0) {
+            admit(now, it->second);
+        }
+        const auto left = works_.find(id);
+        if (left != works_.end()) {
+            expire(now, left->second);
+        }
+    }
+    auto late = std::vector<connection_id>{};
+    for (const auto& [id, connection] : pool_.connections()) {
+        if (connection.phase == connection_phase::opening && now - connection.opened_at > opening_limit) {
+            late.push_back(id);
+        }
+    }
+    for (const auto* table : {&ending_, &probes_}) {
+        for (const auto& [id, since] : *table) {
+            if (now - since > ending_limit) {
+                late.push_back(id);
+            }
+        }
+    }
+    for (const auto id : late) {
+        effects_.close_server(id);
+        on_server_lost(now, id, connection_loss::refused);
+    }
+    for (const auto id : pool_.surplus(now)) {
+        close_connection(id);
+    }
+    for (auto& [id, work] : works_) {
+        const auto& group = group_of(work.route->group);
+        work.outlived_permission =
+            work.outlived_permission || (group.primary.changing && work.generation < group.primary.generation &&
+                                         now - group.changing_since > release_grace);
+    }
+    for (auto& [id, group] : groups_) {
+        const auto permitted = may_use_primary(now, group);
+        if (permitted != (group.permit_missing_since == time_point{})) {
+            group.permit_missing_since = permitted ? time_point{} : now;
+            log(log_level::info, permitted ? log_event::permit_regained : log_event::permit_lost,
+                {{"group", id.value},
+                 {"primary", group.primary.primary.value},
+                 {"generation", std::to_string(group.primary.generation)},
+                 {"changing", group.primary.changing ? "yes" : "no"}});
+        }
+        pump(now, id);
+    }
+    probe_primaries(now);
+    close_sessions(now);
+}
+
+} // namespace citronlug
--- a/src/libcitronlug/settings.cpp
+++ b/src/libcitronlug/settings.cpp
@@ -1,6 +1,7 @@
 #include <citronlug/settings.h>
 
 #include "numbers.h"
+#include "settings_reader.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -18,131 +19,15 @@
 
 namespace {
 
-constexpr auto name_form = "1 to 64 letters, digits, '.', '_' or '-'";
-constexpr auto address_form = "numeric IP:port, for example 127.0.0.1:7001 or [::1]:7001";
 constexpr auto hash_form = "SHA-256 of the token as 64 lower-case hexadecimal digits";
 constexpr std::size_t least_secret_bytes = 16;
 
-auto is_name(const std::string& text) -> bool {
-    return !text.empty() && text.size() <= 64 && std::all_of(text.begin(), text.end(), [](char c) {
-        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
-               c == '_' || c == '-';
-    });
-}
-
 auto is_hash(const std::string& text) -> bool {
     return text.size() == 64 && std::all_of(text.begin(), text.end(), [](char c) {
                return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
            });
 }
 
-/// Reader of one JSON object. Remembers which fields were asked for; the others are unknown.
-class object_reader {
-public:
-    object_reader(QJsonObject object, std::string path, std::vector<setting_error>& errors)
-        : object_(std::move(object))
-        , path_(std::move(path))
-        , errors_(errors) {}
-
-    [[nodiscard]] auto path_of(const std::string& field) const -> std::string {
-        return path_.empty() ? field : path_ + "." + field;
-    }
-
-    auto fail(const std::string& field, std::string message, std::string accepted) -> void {
-        errors_.push_back({path_of(field), std::move(message), std::move(accepted)});
-    }
-
-    /// The field's value; undefined if it is absent.
-    auto take(const std::string& field) -> QJsonValue {
-        known_.insert(field);
-        return object_.value(QString::fromStdString(field));
-    }
-
-    /// Text that satisfies `valid`. Required unless `fallback` is set.
-    auto text(const std::string& field, const std::function<bool(const std::string&)>& valid,
-              const std::string& accepted, const std::optional<std::string>& fallback = std::nullopt)
-        -> std::string {
-        const auto value = take(field);
-        if (value.isUndefined()) {
-            if (!fallback) {
-                fail(field, "is missing", accepted);
-            }
-            return fallback.value_or("");
-        }
-        const auto found = value.toString().toStdString();
-        if (!value.isString() || !valid(found)) {
-            fail(field, "is not valid", accepted);
-        }
-        return found;
-    }
-
-    auto one_of(const std::string& field, const std::vector<std::string>& names, const std::string& fallback)
-        -> std::string {
-        const auto among = [&](const std::string& it) {
-            return std::find(names.begin(), names.end(), it) != names.end();
-        };
-        return text(field, among, fmt::format("{}", fmt::join(names, ", ")), fallback);
-    }
-
-    auto number(const std::string& field, std::int64_t fallback, std::int64_t least, std::int64_t most)
-        -> std::int64_t {
-        const auto value = take(field);
-        if (value.isUndefined()) {
-            return fallback;
-        }
-        const auto found = value.toDouble(static_cast<double>(least) - 1);
-        if (!value.isDouble() || std::floor(found) != found || found < static_cast<double>(least) ||
-            found > static_cast<double>(most)) {
-            fail(field, "is not valid", fmt::format("a whole number from {} to {}", least, most));
-            return fallback;
-        }
-        return static_cast<std::int64_t>(found);
-    }
-
-    auto milliseconds(const std::string& field, duration fallback, std::int64_t least, std::int64_t most)
-        -> duration {
-        return std::chrono::milliseconds{number(field, fallback / 1ms, least, most)};
-    }
-
-    auto object(const std::string& field) -> object_reader {
-        const auto value = take(field);
-        if (!value.isUndefined() && !value.isObject()) {
-            fail(field, "is not valid", "a JSON object");
-        }
-        return {value.toObject(), path_of(field), errors_};
-    }
-
-    auto array(const std::string& field, bool required) -> QJsonArray {
-        const auto value = take(field);
-        if (value.isUndefined() ? required : !value.isArray()) {
-            fail(field, value.isUndefined() ? "is missing" : "is not valid", "a JSON array");
-        }
-        return value.toArray();
-    }
-
-    [[nodiscard]] auto fields() const -> std::vector<std::string> {
-        auto names = std::vector<std::string>{};
-        for (const auto& it : object_.keys()) {
-            names.push_back(it.toStdString());
-        }
-        return names;
-    }
-
-    /// Call after all known fields were taken.
-    auto refuse_unknown() -> void {
-        for (const auto& it : fields()) {
-            if (known_.count(it) == 0) {
-                fail(it, "is no known field", fmt::format("{}", fmt::join(known_, ", ")));
-            }
-        }
-    }
-
-private:
-    QJsonObject object_;
-    std::string path_;
-    std::vector<setting_error>& errors_;
-    std::set<std::string> known_;
-};
 
 auto read_tokens(object_reader& in, std::vector<setting_error>& errors) -> std::vector<admin_credential> {
     auto credentials = std::vector<admin_credential>{};
--- /dev/null
+++ b/src/libcitronlug/store_mirror.cpp
@@ -0,0 +1,96 @@
+#include <citronlug/store_mirror.h>
+
+#include <algorithm>
+
+namespace citronlug {
+
+namespace {
+
+/// Pause after a failed call; it doubles up to the longest, because each call is paid for.
+constexpr auto first_pause = duration{150ms};
+constexpr auto longest_pause = duration{600ms};
+
+} // namespace
+
+store_mirror::store_mirror(duration watch_wait)
+    : watch_wait_{watch_wait} {}
+
+auto store_mirror::next(time_point now) -> std::optional<mirror_call> {
+    if (pending_ || now < not_before_) {
+        return std::nullopt;
+    }
+    pending_ = true;
+    asked_at_ = now;
+    if (revision_) {
+        return mirror_call{true, {}, *revision_, watch_wait_};
+    }
+    if (listed_to_.empty()) {
+        listing_.clear();
+        listing_asked_at_ = now;
+    }
+    return mirror_call{false, listed_to_, 0, {}};
+}
+
+auto store_mirror::on_answer(time_point now, const store_answer& answer) -> std::vector<change> {
+    pending_ = false;
+    auto changes = std::vector<change>{};
+    if (answer.outcome == store_outcome::gone) {
+        revision_.reset();
+        listed_to_.clear();
+        not_before_ = now;
+        return changes;
+    }
+    if (answer.outcome != store_outcome::ok) {
+        ++failures_;
+        not_before_ = now + std::min(longest_pause, first_pause * (1U << std::min(failures_ - 1, 4U)));
+        return changes;
+    }
+    failures_ = 0;
+    not_before_ = now;
+    if (revision_) {
+        for (const auto& it : answer.records) {
+            auto& known = records_[it.name];
+            if (it.revision >= known.revision) {
+                known = it;
+                changes.push_back({it, false});
+            }
+        }
+        for (const auto& name : answer.removed) {
+            records_.erase(name);
+            changes.push_back({{name, {}, 0}, true});
+        }
+        revision_ = std::max(*revision_, answer.revision);
+        confirmed_at_ = asked_at_;
+        return changes;
+    }
+    if (listed_to_.empty()) {
+        // Changes made while later pages are read come again from the watch.
+        listing_revision_ = answer.revision;
+    }
+    for (const auto& it : answer.records) {
+        listing_[it.name] = it;
+    }
+    if (answer.has_more && !answer.records.empty()) {
+        listed_to_ = answer.records.back().name;
+        return changes;
+    }
+    listed_to_.clear();
+    for (const auto& [name, it] : listing_) {
+        const auto known = records_.find(name);
+        if (known == records_.end() || known->second.revision != it.revision) {
+            changes.push_back({it, false});
+        }
+    }
+    for (const auto& [name, it] : records_) {
+        if (!listing_.contains(name)) {
+            changes.push_back({{name, {}, 0}, true});
+        }
+    }
+    records_ = std::move(listing_);
+    listing_.clear();
+    revision_ = listing_revision_;
+    confirmed_at_ = listing_asked_at_;
+    return changes;
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/sessiond/line_socket.cpp
@@ -0,0 +1,159 @@
+#include "line_socket.h"
+
+#include <QHostAddress>
+#include <QPointer>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace citronlug {
+
+namespace {
+
+/// Data that may wait for a peer that does not read; above it the connection is ended.
+constexpr auto most_unsent_bytes = qint64{4} * 1024 * 1024;
+/// Data that is read ahead of a paused connection.
+constexpr auto read_ahead_bytes = qint64{64} * 1024;
+/// A peer that acknowledges nothing for this time is taken for gone, in milliseconds.
+constexpr auto silence_ms = 3000U;
+constexpr auto keep_alive_idle_s = 2;
+constexpr auto keep_alive_interval_s = 1;
+constexpr auto keep_alive_probes = 2;
+
+} // namespace
+
+auto split_address(const std::string& address) -> std::pair<QString, std::uint16_t> {
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return {};
+    }
+    auto host = address.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[') {
+        host = host.substr(1, host.size() - 2);
+    }
+    return {QString::fromStdString(host), QString::fromStdString(address.substr(colon + 1)).toUShort()};
+}
+
+line_socket::line_socket(QTcpSocket* socket, std::size_t longest_line, handlers on, QObject* parent)
+    : QObject{parent}
+    , socket_{socket}
+    , longest_line_{longest_line}
+    , on_{std::move(on)} {
+    socket_->setParent(this);
+    socket_->setReadBufferSize(read_ahead_bytes);
+    QObject::connect(socket_, &QTcpSocket::readyRead, this, [this] { deliver(); });
+    QObject::connect(socket_, &QTcpSocket::connected, this, [this] {
+        set_options();
+        if (on_.connected) {
+            on_.connected();
+        }
+    });
+    QObject::connect(socket_, &QTcpSocket::disconnected, this, [this] { on_closed(false); });
+    QObject::connect(socket_, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError error) {
+        on_closed(error == QAbstractSocket::ConnectionRefusedError);
+    });
+    if (socket_->state() == QAbstractSocket::ConnectedState) {
+        set_options();
+    }
+}
+
+auto line_socket::set_options() -> void {
+    socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    const auto fd = static_cast<int>(socket_->socketDescriptor());
+    const auto on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &keep_alive_idle_s, sizeof keep_alive_idle_s);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keep_alive_interval_s, sizeof keep_alive_interval_s);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keep_alive_probes, sizeof keep_alive_probes);
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof silence_ms);
+}
+
+auto line_socket::connect_to(const std::string& address) -> void {
+    const auto [host, port] = split_address(address);
+    socket_->connectToHost(QHostAddress{host}, port);
+}
+
+auto line_socket::send(const std::string& lines) -> void {
+    if (ended_) {
+        return;
+    }
+    socket_->write(lines.data(), static_cast<qint64>(lines.size()));
+    if (socket_->bytesToWrite() > most_unsent_bytes) {
+        socket_->abort();
+    }
+}
+
+auto line_socket::resume() -> void {
+    paused_ = false;
+    if (!delivering_) {
+        deliver();
+    }
+}
+
+auto line_socket::deliver() -> void {
+    if (delivering_) {
+        return;
+    }
+    delivering_ = true;
+    const auto self = QPointer<line_socket>{this};
+    while (!ended_ && !paused_) {
+        const auto end = buffer_.indexOf("\r\n", start_);
+        if (end < 0) {
+            buffer_.remove(0, start_);
+            start_ = 0;
+            if (socket_->bytesAvailable() == 0) {
+                break;
+            }
+            if (static_cast<std::size_t>(buffer_.size()) > longest_line_) {
+                socket_->abort();
+                break;
+            }
+            buffer_ += socket_->readAll();
+            continue;
+        }
+        const auto line = std::string_view{buffer_.constData() + start_, static_cast<std::size_t>(end - start_)};
+        start_ = end + 2;
+        on_.line(line);
+        if (!self) {
+            return;
+        }
+    }
+    if (start_ > 0 && start_ == buffer_.size()) {
+        buffer_.clear();
+        start_ = 0;
+    }
+    delivering_ = false;
+}
+
+auto line_socket::on_closed(bool refused) -> void {
+    if (ended_) {
+        return;
+    }
+    deliver(); // what arrived before the close
+    if (ended_) {
+        return;
+    }
+    ended_ = true;
+    if (on_.closed) {
+        on_.closed(refused);
+    }
+}
+
+auto line_socket::finish() -> void {
+    ended_ = true;
+    QObject::connect(socket_, &QTcpSocket::disconnected, this, &QObject::deleteLater);
+    if (socket_->state() == QAbstractSocket::UnconnectedState) {
+        deleteLater();
+        return;
+    }
+    socket_->disconnectFromHost();
+}
+
+auto line_socket::abort() -> void {
+    ended_ = true;
+    socket_->abort();
+    deleteLater();
+}
+
+} // namespace citronlug
--- /dev/null
+++ b/src/sessiond/server_links.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "line_socket.h"
+#include "platform.h"
+
+#include <citronlug/primary_coordinator.h>
+#include <citronlug/session_proxy.h>
+
+#include <QObject>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace citronlug {
+
+/// Connections to backend servers, by number. Turns their lines into whole answers.
+class server_links : public QObject {
+public:
+    struct handlers {
+        std::function<void(connection_id)> opened;
+        std::function<void(connection_id, connection_loss)> lost;
+        std::function<void(connection_id, const session_answer&)> answer;
+    };
+
+    server_links(const wire_codec& wire, handlers on);
+    ~server_links() override;
+
+    auto open(connection_id id, const backend_server& server, const account_id& account) -> void;
+    auto send(connection_id id, const server_request& request) -> void;
+    auto close(connection_id id) -> void;
+
+private:
+    struct link {
+        line_socket* socket = nullptr;
+        bool open = false;
+        session_answer answer;      ///< of the statement under way
+        std::size_t answer_bytes = 0;
+    };
+    auto on_line(connection_id id, std::string_view line) -> void;
+    auto lose(connection_id id, connection_loss why) -> void;
+
+    const wire_codec& wire_;
+    handlers on_;
+    std::map<connection_id, link> links_;
+};
+
+/// One connection per backend server for the coordinator's probes and orders.
+class server_probes : public QObject {
+public:
+    using probe_handler = std::function<void(const server_id&, time_point asked_at, const probe_result&)>;
+
+    server_probes(const wire_codec& wire, probe_handler on_result);
+
+    auto probe(time_point now, const backend_server& server) -> void;
+    auto step_down(const backend_server& server, term_number term) -> void;
+    /// Gives up probes without an answer; closes connections that are not used any more.
+    auto on_tick(time_point now) -> void;
+
+private:
+    struct probe_link {
+        backend_server server;
+        connection_id connection = 0;
+        bool open = false;
+        bool asked = false; ///< a status was sent
+        bool waiting = false;
+        time_point asked_at;
+        time_point used_at;
+    };
+    auto report(const server_id& id, const probe_result& result) -> void;
+    auto ask(probe_link& it) -> void;
+
+    const wire_codec& wire_;
+    probe_handler on_result_;
+    server_links links_;
+    std::map<server_id, probe_link> probes_;
+    connection_id next_ = 1;
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/sessiond/session_daemon.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "fleet_link.h"
+#include "line_socket.h"
+#include "log_writer.h"
+#include "platform.h"
+#include "server_links.h"
+
+#include <citronlug/primary_coordinator.h>
+#include <citronlug/session_proxy.h>
+#include <citronlug/session_settings.h>
+#include <citronlug/store_mirror.h>
+
+#include <QHttpServer>
+#include <QTcpServer>
+#include <QTimer>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace citronlug {
+
+/// One session instance: performs the effects of the deciding components on sockets, timers and the platform.
+class session_daemon : public QObject, private session_effects {
+public:
+    session_daemon(session_settings settings, platform& on);
+    ~session_daemon() override;
+
+    /// Listens. Returns the reason if that fails.
+    auto start() -> std::optional<std::string>;
+    /// Takes over what may change while the process runs: addresses of the platform.
+    auto reload(const session_settings& settings) -> void;
+    /// Ends all work and calls `done`.
+    auto leave(std::function<void()> done) -> void;
+
+private:
+    struct mirrored {
+        record_kind kind;
+        store_mirror mirror;
+        bool was_available = true;
+    };
+    struct departed_server {
+        backend_server server;
+        time_point gone_at;
+    };
+
+    // session_effects
+    auto accept_caller(caller_id caller) -> void override;
+    auto reject_caller(caller_id caller, const session_failure& why) -> void override;
+    auto answer_caller(caller_id caller, const session_answer& answer) -> void override;
+    auto close_caller(caller_id caller) -> void override;
+    auto open_server(connection_id connection, const backend_server& server, const account_id& account)
+        -> void override;
+    auto send_server(connection_id connection, const server_request& request) -> void override;
+    auto close_server(connection_id connection) -> void override;
+    auto questions_waiting() -> void override;
+    auto log(log_level level, log_event event, const std::vector<log_field>& fields) -> void override;
+
+    auto on_caller() -> void;
+    auto on_caller_line(caller_id caller, std::string_view line) -> void;
+    auto start_pages() -> bool;
+    auto is_ready() const -> bool;
+
+    auto on_tick() -> void;
+    auto pump_mirrors(time_point now) -> void;
+    auto on_store_answer(mirrored& it, time_point asked_at, const store_answer& answer) -> void;
+    auto apply_rules(time_point now, const store_record& record) -> void;
+    auto apply_servers(time_point now) -> void;
+    auto apply_primaries(time_point now) -> void;
+    auto register_instance(time_point now) -> void;
+    auto perform(time_point now, const coordinator_action& action) -> void;
+    auto list_instances(const std::string& after, std::shared_ptr<std::set<instance_id>> found) -> void;
+
+    auto make_report(time_point now, bool with_questions) -> instance_report;
+    auto send_report(time_point now) -> void;
+    auto on_report_answer(time_point asked_at, const std::vector<token_question>& asked,
+                          const std::optional<report_answer>& answer) -> void;
+    auto serve_report(const instance_report& report) -> report_answer;
+    auto finish_leaving(time_point now) -> void;
+
+    session_settings settings_;
+    platform& platform_;
+    incarnation run_;
+    metrics metrics_;
+    log_writer log_;
+    session_proxy proxy_;
+    primary_coordinator coordinator_;
+    account_ledger ledger_;
+    server_links links_;
+    server_probes probes_;
+    fleet_link fleet_;
+    QTcpServer callers_;
+    QHttpServer ready_page_;
+    QHttpServer metrics_page_;
+    QTcpServer ready_listener_;
+    QTcpServer metrics_listener_;
+    QTimer timer_;
+
+    struct caller {
+        line_socket* socket = nullptr;
+        bool started = false;
+    };
+    std::map<caller_id, caller> sockets_;
+    caller_id next_caller_ = 1;
+
+    mirrored rules_;
+    mirrored servers_;
+    mirrored records_;
+    std::shared_ptr<const desired_state> in_force_;
+    std::map<server_id, backend_server> known_servers_;
+    std::map<server_id, departed_server> departed_;
+    bool servers_listed_ = false;
+
+    bool registered_ = false;
+    bool registering_ = false;
+    time_point register_at_;
+    std::uint64_t registration_revision_ = 0;
+
+    struct word {
+        time_point asked_at;
+        primary_record record;
+    };
+    std::map<group_id, word> words_; ///< of the coordinator, by group
+    std::set<instance_id> known_instances_;
+    bool held_duty_ = false;
+    bool reporting_ = false;
+    time_point reported_at_;
+    bool report_now_ = false;
+    bool coordinator_answers_ = false;
+
+    bool leaving_ = false;
+    time_point leaving_at_;
+    std::function<void()> left_;
+};
+
+} // namespace citronlug
--- /dev/null
+++ b/src/sessiond/session_program.cpp
@@ -0,0 +1,155 @@
+#include "session_program.h"
+
+#include "epoll_dispatcher.h"
+#include "session_daemon.h"
+
+#include <QCoreApplication>
+#include <QSocketNotifier>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <sodium.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace citronlug {
+
+namespace {
+
+/// The settings file is looked at this often, because it may change without a signal.
+constexpr auto settings_check_ms = 1000;
+
+int signal_pipe[2] = {-1, -1};
+
+extern "C" void pass_signal_on(int number) {
+    const auto byte = static_cast<char>(number);
+    [[maybe_unused]] const auto n = write(signal_pipe[1], &byte, 1);
+}
+
+/// Many connections need many descriptors; the soft limit is often 1024.
+auto raise_descriptor_limit() -> void {
+    auto limit = rlimit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+auto read_file(const std::string& path) -> std::optional<std::string> {
+    auto file = std::ifstream{path};
+    if (!file) {
+        return std::nullopt;
+    }
+    auto text = std::stringstream{};
+    text << file.rdbuf();
+    return text.str();
+}
+
+auto read_settings(const std::string& path) -> std::optional<session_settings> {
+    const auto text = read_file(path);
+    if (!text) {
+        std::cerr << fmt::format("cannot read the settings file \"{}\"\n", path);
+        return std::nullopt;
+    }
+    auto parsed = parse_session_settings(*text);
+    if (const auto* errors = std::get_if<std::vector<setting_error>>(&parsed)) {
+        for (const auto& it : *errors) {
+            std::cerr << format_error(it) << '\n';
+        }
+        return std::nullopt;
+    }
+    return std::get<session_settings>(std::move(parsed));
+}
+
+/// Follows signals and changes of the settings file while the instance runs.
+auto serve(session_daemon& instance, const std::string& settings_path) -> int {
+    if (const auto error = instance.start()) {
+        std::cerr << *error << '\n';
+        return 1;
+    }
+    if (pipe(signal_pipe) != 0) {
+        std::cerr << "cannot create a pipe for signals\n";
+        return 1;
+    }
+    auto in_force = read_file(settings_path);
+    const auto reload = [&](bool asked) {
+        auto text = read_file(settings_path);
+        if (!text || (!asked && text == in_force)) {
+            return;
+        }
+        in_force = std::move(text);
+        if (const auto settings = read_settings(settings_path)) {
+            instance.reload(*settings);
+        }
+    };
+    auto signals = QSocketNotifier{signal_pipe[0], QSocketNotifier::Read};
+    QObject::connect(&signals, &QSocketNotifier::activated, &instance, [&] {
+        auto number = char{};
+        if (read(signal_pipe[0], &number, 1) != 1) {
+            return;
+        }
+        if (number == SIGHUP) {
+            reload(true);
+        } else {
+            instance.leave([] { QCoreApplication::quit(); });
+        }
+    });
+    auto check = QTimer{};
+    QObject::connect(&check, &QTimer::timeout, &instance, [&] { reload(false); });
+    check.start(settings_check_ms);
+    for (const auto number : {SIGTERM, SIGINT, SIGHUP}) {
+        std::signal(number, pass_signal_on);
+    }
+    return QCoreApplication::exec();
+}
+
+} // namespace
+
+auto run_session_program(int argc, char** argv, const std::string& default_settings, const platform_maker& make)
+    -> int {
+    auto options = cxxopts::Options{argv[0], "One session instance of the database proxy"};
+    options.add_options()("settings", "settings file (JSON)",
+                          cxxopts::value<std::string>()->default_value(default_settings))(
+        "check", "check the settings and exit")("help", "print this text");
+    auto settings_path = std::string{};
+    auto check_only = false;
+    try {
+        const auto given = options.parse(argc, argv);
+        if (given.count("help") > 0) {
+            std::cout << options.help();
+            return 0;
+        }
+        settings_path = given["settings"].as<std::string>();
+        check_only = given.count("check") > 0;
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    }
+    const auto settings = read_settings(settings_path);
+    if (!settings) {
+        return 2;
+    }
+    if (check_only) {
+        std::cout << "the settings are valid\n";
+        return 0;
+    }
+    if (sodium_init() < 0) {
+        std::cerr << "the system's random source is not available\n";
+        return 1;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    raise_descriptor_limit();
+    QCoreApplication::setEventDispatcher(new epoll_dispatcher);
+    auto application = QCoreApplication{argc, argv};
+    return make(*settings, [&](platform& on) {
+        auto instance = session_daemon{*settings, on};
+        return serve(instance, settings_path);
+    });
+}
+
+} // namespace citronlug
