Call handlers of a line socket from the event loop only; give the first retries a budget

Ruled out: works of callers that left (their path does not look the session up). Cause of a second fault found by the new tests: the retry budget started at nothing, so an instance refused the first statements that could have been placed again; a statement that failed after its caller had left kept its connection.

--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -183,7 +183,7 @@
         finish_with(now, work, session_error::aborted, "the server refused to continue the transaction");
         return;
     }
-    retry(now, work, name_of(code));
+    retry(now, work, name_of(code), code != session_error::lagging);
 }
 
 auto session_proxy::implementation::note_position(time_point /*now*/, const statement_work& work,
@@ -235,7 +235,7 @@
         work_of_connection_.erase(work.connection);
         if (session == sessions_.end()) {
             auto left = session_transaction{};
-            left.connection = work.connection;
+            left.connection = std::exchange(work.connection, 0);
             drop_transaction_connection(now, left);
         } else {
             session->second.transaction->used_at = now;
@@ -282,7 +282,7 @@
             finish_with(now, work, session_error::busy, "the prepared statement was lost; retry now");
             return;
         }
-        retry(now, work, name_of(code));
+        retry(now, work, name_of(code), code != session_error::lagging);
     } else if (!work.writes && (code == session_error::failed || code == session_error::timed_out) &&
                work.attempts < 2) {
         work.tried.insert(work.server);
@@ -333,6 +333,10 @@
     const auto it = sessions_.find(work.caller);
     leave_queue(work);
     if (it == sessions_.end()) {
+        if (work.connection != 0) {
+            work_of_connection_.erase(work.connection);
+            close_connection(work.connection);
+        }
         works_.erase(work.id);
         return;
     }
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -131,7 +131,8 @@
     auto send(time_point now, statement_work& work) -> void;
     auto sends_begin(const statement_work& work) -> bool;
     auto leave_queue(statement_work& work) -> void;
-    auto retry(time_point now, statement_work& work, std::string_view why) -> void;
+    /// Places the work again, or refuses it as not run. `is_paid`: the repeated work counts against the retry budget.
+    auto retry(time_point now, statement_work& work, std::string_view why, bool is_paid = true) -> void;
     auto expire(time_point now, statement_work& work) -> void;
 
     // Answers.
@@ -181,7 +182,7 @@
     std::set<std::uint64_t> waiting_for_tokens_;
     std::uint64_t next_work_ = 1;
     std::uint32_t instances_ = 1;
-    double retry_tokens_ = 0;
+    double retry_tokens_ = 10; ///< an instance that has just started may retry too
     bool leaving_ = false;
     time_point leaving_at_;
     duration leaving_transactions_{};
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -325,7 +325,8 @@
     effects_.send_server(work.connection, request);
 }
 
-auto session_proxy::implementation::retry(time_point now, statement_work& work, std::string_view why) -> void {
+auto session_proxy::implementation::retry(time_point now, statement_work& work, std::string_view why,
+                                           bool is_paid) -> void {
     counters_.count("citronlug_retries_total", {{"why", std::string{why}}});
     log(log_level::info, log_event::request_retried,
         {{"request", work.statement.id},
@@ -333,11 +334,11 @@
          {"why", std::string{why}},
          {"attempts", std::to_string(work.attempts)},
          {"waited_ms", std::to_string((now - work.received) / 1ms)}});
-    if (work.attempts >= most_attempts || now >= work.give_up_queued || retry_tokens_ < 1) {
+    if (work.attempts >= most_attempts || now >= work.give_up_queued || (is_paid && retry_tokens_ < 1)) {
         finish_with(now, work, session_error::busy, fmt::format("{}; retry in 300 ms", why));
         return;
     }
-    retry_tokens_ -= 1;
+    retry_tokens_ -= is_paid ? 1 : 0;
     enqueue(now, work);
 }
 
--- a/src/sessiond/line_socket.cpp
+++ b/src/sessiond/line_socket.cpp
@@ -70,12 +70,14 @@
 }
 
 auto line_socket::connect_to(const std::string& address) -> void {
-    const auto [host, port] = split_address(address);
-    socket_->connectToHost(QHostAddress{host}, port);
+    later([this, address] {
+        const auto [host, port] = split_address(address);
+        socket_->connectToHost(QHostAddress{host}, port);
+    });
 }
 
 auto line_socket::send(const std::string& lines) -> void {
-    if (ended_) {
+    if (ended_ || closed_) {
         return;
     }
     socket_->write(lines.data(), static_cast<qint64>(lines.size()));
@@ -86,11 +88,15 @@
 
 auto line_socket::resume() -> void {
     paused_ = false;
-    if (!delivering_) {
-        deliver();
+    if (!delivering_ && (start_ < buffer_.size() || socket_->bytesAvailable() > 0)) {
+        later([this] { deliver(); });
     }
 }
 
+auto line_socket::later(const std::function<void()>& work) -> void {
+    QMetaObject::invokeMethod(this, work, Qt::QueuedConnection);
+}
+
 auto line_socket::deliver() -> void {
     if (delivering_) {
         return;
@@ -127,17 +133,16 @@
 }
 
 auto line_socket::on_closed(bool refused) -> void {
-    if (ended_) {
-        return;
-    }
-    deliver(); // what arrived before the close
-    if (ended_) {
+    if (std::exchange(closed_, true)) {
         return;
     }
-    ended_ = true;
-    if (on_.closed) {
+    later([this, refused] {
+        deliver(); // what arrived before the close
+        if (std::exchange(ended_, true)) {
+            return;
+        }
         on_.closed(refused);
-    }
+    });
 }
 
 auto line_socket::finish() -> void {
--- a/src/sessiond/line_socket.h
+++ b/src/sessiond/line_socket.h
@@ -11,7 +11,8 @@
 
 namespace citronlug {
 
-/// TCP connection that carries lines ended by CR LF. Finds a peer that went silent by keep-alive probes, and one that
+/// TCP connection that carries lines ended by CR LF. Its handlers are called from the event loop only, never from within
+/// its functions. Finds a peer that went silent by keep-alive probes, and one that
 /// does not read by the amount of data that waits for it.
 class line_socket : public QObject {
 public:
@@ -38,6 +39,8 @@
     auto set_options() -> void;
     auto deliver() -> void;
     auto on_closed(bool refused) -> void;
+    /// Calls `work` from the event loop, unless the connection is gone by then.
+    auto later(const std::function<void()>& work) -> void;
 
     QTcpSocket* socket_;
     std::size_t longest_line_;
@@ -46,7 +49,8 @@
     qsizetype start_ = 0; ///< of the first line that is not delivered
     bool paused_ = false;
     bool delivering_ = false;
-    bool ended_ = false;
+    bool closed_ = false; ///< the peer or the network closed it
+    bool ended_ = false;  ///< no handler is called any more
 };
 
 /// Splits numeric "host:port"; port 0 if it is not one.
