Take a connection only for the statement that the queue starts; watch from the last change seen

Cause of the exits (std::out_of_range): the fair queue asks about one statement of each client account before it starts one, and the check took a connection for each. Those connections stayed busy for statements that had ended; the loss of one looked its statement up. Ruled out: handlers called from within an answer (mended before, exits went on). A watch that reports nothing for a second can pass a change by if the next one starts from the store's revision, so watches now start from the last change, a failed watch lists anew, and a newer version in the coordinator's word lists at once.

--- a/src/include/citronlug/server_pool.h
+++ b/src/include/citronlug/server_pool.h
@@ -56,18 +56,6 @@
     time_point answered_at;       ///< last answer
 };
 
-/// What one attempt to get a connection came to.
-enum class placement_result {
-    ready,   ///< `connection` is an idle connection
-    opening, ///< a connection is being opened
-    full,    ///< all connections are in use
-};
-
-template <>
-struct name_table<placement_result> {
-    static constexpr std::array<std::string_view, 3> names{"ready", "opening", "full"};
-};
-
 /// Connections of this instance to the backend servers, and which of them serves a statement. Opens and closes
 /// through the actions that it returns. Not thread-safe.
 class server_pool {
@@ -87,17 +75,17 @@
     [[nodiscard]] auto estimate(const backend_server& server, const account_id& account, time_point now)
         -> std::optional<duration>;
 
-    struct placement {
-        placement_result result = placement_result::full;
-        connection_id connection = 0;
-        connection_id evicted = 0; ///< idle connection of another account that must be closed first
-        bool is_new = false;       ///< the owner must open `connection`
+    /// True if a connection to this server is idle for this account.
+    [[nodiscard]] auto has_idle(const server_id& server, const account_id& account) const -> bool;
+    /// An idle connection for this account, marked busy; 0 if there is none. One whose session values are `values` comes
+    /// first.
+    [[nodiscard]] auto acquire(const server_id& server, const account_id& account,
+                               const std::map<std::string, std::string>& values, time_point now) -> connection_id;
+    struct opening {
+        connection_id connection = 0; ///< the owner must open it; 0: all connections are in use
+        connection_id evicted = 0;    ///< idle connection of another account that the owner must close first
     };
-    /// A connection to this server for this account, marked busy if it is ready. Connections whose session values are
-    /// `values` come first. Opens one only if `may_open`.
-    [[nodiscard]] auto acquire(const backend_server& server, const account_id& account,
-                               const std::map<std::string, std::string>& values, bool may_open, time_point now)
-        -> placement;
+    [[nodiscard]] auto open(const backend_server& server, const account_id& account, time_point now) -> opening;
     /// An idle connection of any account, marked busy.
     [[nodiscard]] auto acquire_any(const server_id& server, time_point now) -> connection_id;
 
--- a/src/include/citronlug/store_mirror.h
+++ b/src/include/citronlug/store_mirror.h
@@ -54,6 +54,7 @@
 
 /// Next call of a mirror.
 struct mirror_call {
+    std::uint64_t number = 0;   ///< goes back with the answer
     bool is_watch = false;
     std::string after;          ///< listing: names after this one
     std::uint64_t revision = 0; ///< watch: changes after this one
@@ -61,7 +62,9 @@
 };
 
 /// Keeps a copy of all records of one kind by one listing and then watches, one call at a time. Lists anew when the
-/// store has dropped its history. Not thread-safe.
+/// store has dropped its history, and after a watch that failed. A watch continues from the last change of this kind, not
+/// from the store's revision at an empty answer, so that a change that an earlier watch did not report is not missed.
+/// Not thread-safe.
 class store_mirror {
 public:
     explicit store_mirror(duration watch_wait);
@@ -73,15 +76,15 @@
         bool removed = false;
     };
     /// Changes that the answer brings, in order.
-    [[nodiscard]] auto on_answer(time_point now, const store_answer& answer) -> std::vector<change>;
+    [[nodiscard]] auto on_answer(time_point now, std::uint64_t call, const store_answer& answer)
+        -> std::vector<change>;
 
     [[nodiscard]] auto records() const -> const std::map<std::string, store_record>& { return records_; }
     /// Time before which the last answer of the store that shows the present records was asked for.
     [[nodiscard]] auto confirmed_at() const -> std::optional<time_point> { return confirmed_at_; }
     [[nodiscard]] auto is_available() const -> bool { return failures_ == 0; }
-    auto set_watch_wait(duration wait) -> void { watch_wait_ = wait; }
-    /// The next call is made at once, after something was heard that this copy may lack.
-    auto hurry() -> void { not_before_ = {}; }
+    /// This copy lacks a change. The call under way is given up and all records are listed.
+    auto list_again() -> void;
 
 private:
     duration watch_wait_;
@@ -90,6 +93,7 @@
     std::string listed_to_;
     std::optional<std::uint64_t> revision_; ///< watched from; empty: list first
     std::uint64_t listing_revision_ = 0;
+    std::uint64_t call_ = 0;
     bool pending_ = false;
     time_point asked_at_;
     time_point listing_asked_at_;
--- a/src/libcitronlug/server_pool.cpp
+++ b/src/libcitronlug/server_pool.cpp
@@ -120,14 +120,10 @@
     if (server.state != server_state::ready || known.usable_at > now) {
         return std::nullopt;
     }
-    auto idle = false;
-    for (const auto& [id, it] : connections_) {
-        idle = idle || (it.server.id == server.id && it.account == account && it.phase == connection_phase::idle);
-    }
     const auto use = usage_of(server.id);
     const auto queued = 1.0 + static_cast<double>(use.busy) / std::max(1U, server.slots);
     auto sum = std::chrono::duration_cast<duration>(known.usual_latency * queued);
-    if (!idle) {
+    if (!has_idle(server.id, account)) {
         sum += use.total() < limit_of(server, now) || use.idle > 0 ? opening_time : known.usual_latency + opening_time;
     }
     if (server.domain != own_domain_) {
@@ -136,19 +132,18 @@
     return sum;
 }
 
-auto server_pool::acquire(const backend_server& server, const account_id& account,
-                          const std::map<std::string, std::string>& values, bool may_open, time_point now)
-    -> placement {
+auto server_pool::has_idle(const server_id& server, const account_id& account) const -> bool {
+    return std::any_of(connections_.begin(), connections_.end(), [&](const auto& it) {
+        return it.second.server.id == server && it.second.account == account &&
+               it.second.phase == connection_phase::idle;
+    });
+}
+
+auto server_pool::acquire(const server_id& server, const account_id& account,
+                          const std::map<std::string, std::string>& values, time_point now) -> connection_id {
     auto* best = static_cast<server_connection*>(nullptr);
-    auto* oldest_other = static_cast<server_connection*>(nullptr);
     for (auto& [id, it] : connections_) {
-        if (it.server.id != server.id || it.phase != connection_phase::idle) {
-            continue;
-        }
-        if (it.account != account) {
-            if (oldest_other == nullptr || it.used_at < oldest_other->used_at) {
-                oldest_other = &it;
-            }
+        if (it.server.id != server || it.account != account || it.phase != connection_phase::idle) {
             continue;
         }
         const auto fits = it.values == values;
@@ -158,20 +153,28 @@
             best = &it;
         }
     }
-    if (best != nullptr) {
-        best->phase = connection_phase::busy;
-        best->used_at = now;
-        return {placement_result::ready, best->id, 0, false};
-    }
-    auto result = placement{};
-    if (!may_open) {
-        return result;
+    if (best == nullptr) {
+        return 0;
     }
+    best->phase = connection_phase::busy;
+    best->used_at = now;
+    return best->id;
+}
+
+auto server_pool::open(const backend_server& server, const account_id& account, time_point now) -> opening {
+    auto result = opening{};
     if (usage_of(server.id).total() >= limit_of(server, now)) {
-        if (oldest_other == nullptr) {
+        auto* oldest = static_cast<server_connection*>(nullptr);
+        for (auto& [id, it] : connections_) {
+            if (it.server.id == server.id && it.phase == connection_phase::idle &&
+                (oldest == nullptr || it.used_at < oldest->used_at)) {
+                oldest = &it;
+            }
+        }
+        if (oldest == nullptr) {
             return result;
         }
-        result.evicted = oldest_other->id;
+        result.evicted = oldest->id;
         connections_.erase(result.evicted);
     }
     const auto id = next_connection_++;
@@ -181,9 +184,7 @@
     added.account = account;
     added.opened_at = now;
     added.used_at = now;
-    result.result = placement_result::opening;
     result.connection = id;
-    result.is_new = true;
     return result;
 }
 
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -123,7 +123,9 @@
     auto admit(time_point now, statement_work& work) -> void;
     auto enqueue(time_point now, statement_work& work) -> void;
     auto pump(time_point now, const group_id& group) -> void;
-    auto try_place(time_point now, statement_work& work) -> start_check;
+    /// Whether a connection is idle for the work; opens one if none is.
+    auto may_start(time_point now, statement_work& work) -> start_check;
+    auto place(time_point now, statement_work& work) -> bool;
     auto candidates_of(time_point now, const statement_work& work) -> std::vector<const backend_server*>;
     auto need_of(time_point now, const statement_work& work) -> read_need;
     auto may_use_primary(time_point now, const group_state& group) const -> bool;
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -1,5 +1,6 @@
 #include <citronlug/session_proxy.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -445,6 +446,48 @@
     CHECK_EQUAL(std::string{"ok"}, last_code(1));
 }
 
+// Guards against connections that are set aside for statements that the queue does not start, and a crash when their
+// answers arrive: the queue looks at one statement of each client account before it starts one.
+TEST(session_reads, of_several_accounts_take_one_connection_each) {
+    auto rules = make_rules(2);
+    for (const auto* name : {"a", "b", "c"}) {
+        rules->accounts[account_id{name}] = {account_id{name}, {0, 0}};
+        rules->keys[name] = account_id{name};
+    }
+    proxy.set_rules(now, rules);
+    proxy.set_servers(now, {make_server(primary)});
+    auto caller = caller_id{1};
+    auto answered = 0;
+    const auto ask_all = [&] {
+        for (const auto* name : {"a", "b", "c"}) {
+            proxy.on_start(now, caller, "place", name);
+            proxy.on_statement(now, caller, query(session_verb::read, "q" + std::to_string(caller), "READ a"));
+            ++caller;
+        }
+    };
+    const auto answer_all = [&] {
+        open_all();
+        while (!effects.requests.empty()) {
+            reply(next_request().connection, ok(transaction_state::idle, position{4, 100}));
+            ++answered;
+        }
+    };
+    ask_all();
+    answer_all();
+    // Statements queue while the primary is being replaced; then all accounts have idle connections at once.
+    proxy.set_primary(now, view(2, primary, true));
+    ask_all();
+    ask_all();
+    proxy.set_primary(now, view(2, primary));
+    CHECK_EQUAL(3U, effects.requests.size());
+    answer_all();
+    CHECK_EQUAL(9, answered);
+    for (const auto& [id, server] : effects.opened) {
+        proxy.on_server_lost(now, id, connection_loss::closed);
+    }
+    CHECK_EQUAL(0, std::count(effects.events.begin(), effects.events.end(), log_event::server_unusable));
+}
+
 TEST_GROUP_BASE(session_state, session_proxy_base){};
 
 // Guards against statements that run under another session's values or prepared statements.
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -136,12 +136,15 @@
     auto& state = group_of(group);
     for (auto& [priority, queue] : state.queues) {
         while (queue && queue->size() > 0) {
-            const auto next =
-                queue->take([&](std::uint64_t id) { return try_place(now, works_.at(id)); });
+            // The queue may ask about several entries before it starts one, so the check takes no connection.
+            const auto next = queue->take([&](std::uint64_t id) { return may_start(now, works_.at(id)); });
             if (!next) {
                 break;
             }
-            prepare(now, works_.at(*next));
+            auto& work = works_.at(*next);
+            if (place(now, work)) {
+                prepare(now, work);
+            }
         }
     }
 }
@@ -190,35 +193,46 @@
     return ordered;
 }
 
-auto session_proxy::implementation::try_place(time_point now, statement_work& work) -> start_check {
+auto session_proxy::implementation::may_start(time_point now, statement_work& work) -> start_check {
     if (work.needs_primary && !may_use_primary(now, group_of(work.route->group))) {
         return start_check::blocked;
     }
+    const auto candidates = candidates_of(now, work);
+    if (std::any_of(candidates.begin(), candidates.end(),
+                    [&](const auto* server) { return pool_.has_idle(server->id, work.account); })) {
+        return start_check::start;
+    }
     const auto* opening = pool_.find(work.opening);
-    const auto may_open = opening == nullptr || opening->phase != connection_phase::opening;
-    const auto session = sessions_.find(work.caller);
-    if (session == sessions_.end()) {
+    if (opening != nullptr && opening->phase == connection_phase::opening) {
         return start_check::skip;
     }
-    for (const auto* server : candidates_of(now, work)) {
-        const auto placed = pool_.acquire(*server, work.account, session->second.values, may_open, now);
-        if (placed.evicted != 0) {
-            effects_.close_server(placed.evicted);
+    for (const auto* server : candidates) {
+        const auto opened = pool_.open(*server, work.account, now);
+        if (opened.evicted != 0) {
+            effects_.close_server(opened.evicted);
+        }
+        if (opened.connection != 0) {
+            work.opening = opened.connection;
+            effects_.open_server(opened.connection, *server, work.account);
+            break;
         }
-        if (placed.result == placement_result::ready) {
-            work.connection = placed.connection;
+    }
+    return start_check::skip;
+}
+
+auto session_proxy::implementation::place(time_point now, statement_work& work) -> bool {
+    const auto& values = sessions_.at(work.caller).values;
+    for (const auto* server : candidates_of(now, work)) {
+        const auto connection = pool_.acquire(server->id, work.account, values, now);
+        if (connection != 0) {
+            work.connection = connection;
             work.server = server->id;
             work.stage = work_stage::preparing;
-            work_of_connection_[placed.connection] = work.id;
-            return start_check::start;
-        }
-        if (placed.result == placement_result::opening) {
-            work.opening = placed.connection;
-            effects_.open_server(placed.connection, *server, work.account);
-            return start_check::skip;
+            work_of_connection_[connection] = work.id;
+            return true;
         }
     }
-    return start_check::skip;
+    return false;
 }
 
 auto session_proxy::implementation::sends_begin(const statement_work& work) -> bool {
--- a/src/libcitronlug/store_mirror.cpp
+++ b/src/libcitronlug/store_mirror.cpp
@@ -21,19 +21,32 @@
     }
     pending_ = true;
     asked_at_ = now;
+    ++call_;
     if (revision_) {
-        return mirror_call{true, {}, *revision_, watch_wait_};
+        return mirror_call{call_, true, {}, *revision_, watch_wait_};
     }
     if (listed_to_.empty()) {
         listing_.clear();
         listing_asked_at_ = now;
     }
-    return mirror_call{false, listed_to_, 0, {}};
+    return mirror_call{call_, false, listed_to_, 0, {}};
 }
 
-auto store_mirror::on_answer(time_point now, const store_answer& answer) -> std::vector<change> {
-    pending_ = false;
+auto store_mirror::list_again() -> void {
+    if (revision_) {
+        revision_.reset();
+        listed_to_.clear();
+        pending_ = false;
+        not_before_ = {};
+    }
+}
+
+auto store_mirror::on_answer(time_point now, std::uint64_t call, const store_answer& answer) -> std::vector<change> {
     auto changes = std::vector<change>{};
+    if (!pending_ || call != call_) {
+        return changes; // of a call that was given up
+    }
+    pending_ = false;
     if (answer.outcome == store_outcome::gone) {
         revision_.reset();
         listed_to_.clear();
@@ -42,6 +55,8 @@
     }
     if (answer.outcome != store_outcome::ok) {
         ++failures_;
+        revision_.reset();
+        listed_to_.clear();
         not_before_ = now + std::min(longest_pause, first_pause * (1U << std::min(failures_ - 1, 4U)));
         return changes;
     }
@@ -59,7 +74,9 @@
             records_.erase(name);
             changes.push_back({{name, {}, 0}, true});
         }
-        revision_ = std::max(*revision_, answer.revision);
+        if (!changes.empty()) {
+            revision_ = std::max(*revision_, answer.revision);
+        }
         confirmed_at_ = asked_at_;
         return changes;
     }
--- /dev/null
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -0,0 +1,100 @@
+#include <citronlug/store_mirror.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronlug;
+
+namespace {
+
+auto answer_of(std::vector<store_record> records, std::uint64_t revision) -> store_answer {
+    auto it = store_answer{};
+    it.outcome = store_outcome::ok;
+    it.records = std::move(records);
+    it.revision = revision;
+    return it;
+}
+
+auto failed(store_outcome outcome) -> store_answer {
+    auto it = store_answer{};
+    it.outcome = outcome;
+    return it;
+}
+
+} // namespace
+
+// Scenario: a copy of one kind with the record "a", listed at revision 10 of the store.
+TEST_GROUP(store_mirror) {
+    time_point now{1h};
+    store_mirror mirror{2s};
+
+    void setup() override {
+        const auto call = mirror.next(now);
+        CHECK_FALSE(call->is_watch);
+        CHECK_EQUAL(1U, mirror.on_answer(now, call->number, answer_of({{"a", "1", 7}}, 10)).size());
+    }
+};
+
+// Guards against missing a change that a watch did not report, although the store's revision had passed it.
+TEST(store_mirror, watches_from_the_last_change_after_an_empty_answer) {
+    const auto first = mirror.next(now);
+    CHECK_EQUAL(10U, first->revision);
+    CHECK_TRUE(mirror.on_answer(now, first->number, answer_of({}, 15)).empty());
+    const auto second = mirror.next(now);
+    CHECK_EQUAL(10U, second->revision);
+    const auto changes = mirror.on_answer(now, second->number, answer_of({{"a", "2", 12}}, 16));
+    CHECK_EQUAL(1U, changes.size());
+    CHECK_EQUAL(16U, mirror.next(now)->revision);
+}
+
+// Guards against a copy that stays old after the store dropped its history or a watch failed.
+TEST(store_mirror, lists_again_after_lost_history_and_after_a_failure) {
+    for (const auto outcome : {store_outcome::gone, store_outcome::unanswered, store_outcome::refused}) {
+        const auto watch = mirror.next(now);
+        CHECK_TRUE(watch->is_watch);
+        CHECK_TRUE(mirror.on_answer(now, watch->number, failed(outcome)).empty());
+        now += 1s;
+        const auto list = mirror.next(now);
+        CHECK_FALSE(list->is_watch);
+        CHECK_TRUE(mirror.on_answer(now, list->number, answer_of({{"a", "1", 7}}, 30)).empty());
+    }
+}
+
+// Guards against records that stay in the copy after they were removed while no watch was open.
+TEST(store_mirror, reports_records_that_vanished_between_two_listings) {
+    mirror.list_again();
+    const auto list = mirror.next(now);
+    const auto changes = mirror.on_answer(now, list->number, answer_of({{"b", "1", 20}}, 21));
+    CHECK_EQUAL(2U, changes.size());
+    CHECK_TRUE(changes.back().removed);
+    CHECK_EQUAL(std::string{"a"}, changes.back().record.name);
+}
+
+// Guards against an answer to a call that was given up, which may be older than what is known now.
+TEST(store_mirror, ignores_the_answer_of_a_call_that_was_given_up) {
+    const auto watch = mirror.next(now);
+    mirror.list_again();
+    const auto list = mirror.next(now);
+    mirror.on_answer(now, list->number, answer_of({{"a", "3", 20}}, 21)).empty();
+    CHECK_TRUE(mirror.on_answer(now, watch->number, answer_of({{"a", "2", 12}}, 13)).empty());
+    CHECK_EQUAL(std::string{"3"}, mirror.records().at("a").value);
+}
+
+// Guards against a permission whose evidence is counted from the answer instead of the question.
+TEST(store_mirror, counts_its_age_from_before_the_question) {
+    const auto watch = mirror.next(now);
+    const auto asked = now;
+    now += 2s;
+    mirror.on_answer(now, watch->number, answer_of({}, 11)).empty();
+    CHECK(asked == mirror.confirmed_at());
+}
+
+// Guards against paying for many calls while the store refuses them.
+TEST(store_mirror, pauses_after_failures) {
+    for (auto n = 0; n < 5; ++n) {
+        const auto call = mirror.next(now);
+        CHECK_TRUE(call.has_value());
+        mirror.on_answer(now, call->number, failed(store_outcome::refused)).empty();
+        CHECK_FALSE(mirror.next(now).has_value());
+        now += 600ms;
+    }
+}
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -272,7 +272,9 @@
         if (!call) {
             continue;
         }
-        auto done = [this, it, now](const store_answer& answer) { on_store_answer(*it, now, answer); };
+        auto done = [this, it, now, number = call->number](const store_answer& answer) {
+            on_store_answer(*it, number, now, answer);
+        };
         metrics_.count("citronlug_store_calls_total",
                        {{"kind", std::string{name_of(it->kind)}}, {"call", call->is_watch ? "watch" : "list"}});
         if (call->is_watch) {
@@ -283,9 +285,10 @@
     }
 }
 
-auto session_daemon::on_store_answer(mirrored& it, time_point asked_at, const store_answer& answer) -> void {
+auto session_daemon::on_store_answer(mirrored& it, std::uint64_t call, time_point asked_at,
+                                     const store_answer& answer) -> void {
     const auto now = clock_now();
-    const auto changes = it.mirror.on_answer(now, answer);
+    const auto changes = it.mirror.on_answer(now, call, answer);
     if (it.mirror.is_available() != it.was_available) {
         it.was_available = it.mirror.is_available();
         log(log_level::warning, it.was_available ? log_event::dependency_regained : log_event::dependency_lost,
@@ -559,7 +562,8 @@
         }
     }
     if (in_force_ && answer->rules_version > in_force_->version) {
-        rules_.mirror.hurry();
+        rules_.mirror.list_again();
+        pump_mirrors(now);
     }
     apply_primaries(now);
     proxy_.on_tokens(now);
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -66,7 +66,7 @@
 
     auto on_tick() -> void;
     auto pump_mirrors(time_point now) -> void;
-    auto on_store_answer(mirrored& it, time_point asked_at, const store_answer& answer) -> void;
+    auto on_store_answer(mirrored& it, std::uint64_t call, time_point asked_at, const store_answer& answer) -> void;
     auto apply_rules(time_point now, const store_record& record) -> void;
     auto apply_servers(time_point now) -> void;
     auto apply_primaries(time_point now) -> void;
