--- a/src/include/citronlug/read_freshness.h
+++ b/src/include/citronlug/read_freshness.h
@@ -20,9 +20,9 @@
     /// A new primary has a log of its own; older positions may not be part of it.
     auto clear() -> void;
 
-    /// Position that a read must find if it may miss writes acknowledged within the last `max_age`; empty without
-    /// evidence of that age.
-    [[nodiscard]] auto required(time_point now, duration max_age) const -> std::optional<position>;
+    /// Position that a read which arrived at `received` must find if it may miss writes acknowledged within `max_age`
+    /// before; empty without evidence of that age.
+    [[nodiscard]] auto required(time_point received, duration max_age) const -> std::optional<position>;
     [[nodiscard]] auto newest() const -> std::optional<position>;
     [[nodiscard]] auto newest_at() const -> std::optional<time_point>;
 
@@ -43,8 +43,9 @@
 };
 
 /// `own_write`: position of the session's last write in this group. A write of an older term is contained in every
-/// position of the present term, or was lost with the old primary.
+/// position of the present term, or was lost with the old primary. `received`: arrival of the read, or of the beginning of
+/// its transaction.
 [[nodiscard]] auto need_of_read(const session_route& route, const position_samples& samples,
-                                const std::optional<position>& own_write, time_point now) -> read_need;
+                                const std::optional<position>& own_write, time_point received) -> read_need;
 
 } // namespace citronlug
--- a/src/libcitronlug/read_freshness.cpp
+++ b/src/libcitronlug/read_freshness.cpp
@@ -11,11 +11,6 @@
 /// Samples older than the longest bound in use are dropped.
 constexpr auto sample_life = duration{60s};
 constexpr auto most_samples = std::size_t{512};
-/// Part of a bound on age that is left for the way of the read to the backend server.
-constexpr auto travel_allowance = duration{50ms};
-/// The newest sample that is at least this old is preferred, because replicas have had the time to apply it.
-constexpr auto usual_replica_lag = duration{150ms};
-
 } // namespace
 
 auto position_samples::add(time_point asked_at, position at) -> void {
@@ -42,20 +37,14 @@
     sealed_.reset();
 }
 
-auto position_samples::required(time_point now, duration max_age) const -> std::optional<position> {
+auto position_samples::required(time_point received, duration max_age) const -> std::optional<position> {
     if (sealed_) {
         return sealed_;
     }
-    const auto oldest = now - max_age + std::min(travel_allowance, max_age / 4);
-    const auto settled = now - std::min(usual_replica_lag, max_age / 2);
-    auto found = std::optional<position>{};
-    for (auto it = samples_.rbegin(); it != samples_.rend() && it->asked_at >= oldest; ++it) {
-        found = it->at;
-        if (it->asked_at <= settled) {
-            break;
-        }
-    }
-    return found;
+    // The oldest position that is young enough is the one that most replicas have applied.
+    const auto it = std::find_if(samples_.begin(), samples_.end(),
+                                 [&](const auto& sample) { return sample.asked_at >= received - max_age; });
+    return it == samples_.end() ? std::nullopt : std::optional{it->at};
 }
 
 auto position_samples::newest() const -> std::optional<position> {
@@ -67,13 +56,13 @@
 }
 
 auto need_of_read(const session_route& route, const position_samples& samples,
-                  const std::optional<position>& own_write, time_point now) -> read_need {
+                  const std::optional<position>& own_write, time_point received) -> read_need {
     if (route.kind == consistency::primary || (route.kind == consistency::bounded_staleness && route.max_age <= 0ms)) {
         return {};
     }
     auto after = std::optional<position>{};
     if (route.max_age > 0ms) {
-        after = samples.required(now, route.max_age);
+        after = samples.required(received, route.max_age);
         if (!after) {
             return {};
         }
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -10,6 +10,8 @@
 
 /// A request that takes longer than this part of its route's target is logged with its steps.
 constexpr auto slow_part = 1.0;
+/// Weight of a new time in the moving average of a route.
+constexpr auto usual_weight = 0.05;
 /// After a server refused a statement because its queue is full, it is not chosen for this time.
 constexpr auto full_pause = duration{20ms};
 /// After the primary refused a write as a replica, it is not used for this time.
@@ -199,6 +201,8 @@
     -> void {
     pool_.on_answer(work.server, now - work.sent_at, now);
     note_position(now, work, answer);
+    auto& usual = usual_times_.try_emplace(work.route->name, now - work.sent_at).first->second;
+    usual = std::chrono::duration_cast<duration>(usual * (1 - usual_weight) + (now - work.sent_at) * usual_weight);
     if (answer.error) {
         on_refused(now, work, answer);
         return;
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -127,7 +127,7 @@
     auto may_start(time_point now, statement_work& work) -> start_check;
     auto place(time_point now, statement_work& work) -> bool;
     auto candidates_of(time_point now, const statement_work& work) -> std::vector<const backend_server*>;
-    auto need_of(time_point now, const statement_work& work) -> read_need;
+    auto need_of(const statement_work& work) -> read_need;
     auto may_use_primary(time_point now, const group_state& group) const -> bool;
     auto prepare(time_point now, statement_work& work) -> void;
     auto send(time_point now, statement_work& work) -> void;
@@ -136,6 +136,8 @@
     /// Places the work again, or refuses it as not run. `is_paid`: the repeated work counts against the retry budget.
     auto retry(time_point now, statement_work& work, std::string_view why, bool is_paid = true) -> void;
     auto expire(time_point now, statement_work& work) -> void;
+    /// Time that a statement without lasting effect may run before it is given up at its server.
+    [[nodiscard]] auto patience_of(const statement_work& work) const -> duration;
 
     // Answers.
     auto on_server_opened(time_point now, connection_id id) -> void;
@@ -182,6 +184,7 @@
     std::map<connection_id, time_point> ending_; ///< connections whose rollback or reset is under way
     std::map<connection_id, time_point> probes_; ///< connections that wait for a status, and when it was asked for
     std::set<std::uint64_t> waiting_for_tokens_;
+    std::unordered_map<std::string, duration> usual_times_; ///< moving average of a statement at its server, by route
     std::uint64_t next_work_ = 1;
     std::uint32_t instances_ = 1;
     double retry_tokens_ = 10; ///< an instance that has just started may retry too
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -21,8 +21,11 @@
 constexpr auto most_saved_retries = 50.0;
 /// Reads go to the primary, which alone serves writes, if the replicas are this much slower.
 constexpr auto primary_reserve = duration{25ms};
-/// A read is sent to another server if its own has answered nothing at all for this time.
-constexpr auto read_silence = duration{400ms};
+/// A statement without lasting effect is given up at its server after this many times its usual time, within these
+/// bounds, so that it can run elsewhere while its caller waits. Answers the loss of single answers and of servers.
+constexpr auto patience_factor = 5;
+constexpr auto shortest_patience = duration{180ms};
+constexpr auto longest_patience_part = 0.5; ///< of the statement timeout
 /// A connection that is not open by then counts as failed.
 constexpr auto opening_limit = duration{600ms};
 /// A rollback or status that is not answered by then ends the connection.
@@ -153,7 +156,7 @@
     return !group.primary.primary.empty() && !group.primary.changing && now < group.primary.permitted_until;
 }
 
-auto session_proxy::implementation::need_of(time_point now, const statement_work& work) -> read_need {
+auto session_proxy::implementation::need_of(const statement_work& work) -> read_need {
     auto own = std::optional<position>{};
     const auto session = sessions_.find(work.caller);
     if (session != sessions_.end()) {
@@ -162,7 +165,7 @@
             own = it->second;
         }
     }
-    return need_of_read(*work.route, group_of(work.route->group).samples, own, now);
+    return need_of_read(*work.route, group_of(work.route->group).samples, own, work.received);
 }
 
 auto session_proxy::implementation::candidates_of(time_point now, const statement_work& work)
@@ -173,7 +176,7 @@
         const auto* primary = permitted ? pool_.server(group.primary.primary) : nullptr;
         return primary != nullptr ? std::vector{primary} : std::vector<const backend_server*>{};
     }
-    const auto by_replica = need_of(now, work).any_replica;
+    const auto by_replica = need_of(work).any_replica;
     auto found = std::vector<std::pair<duration, const backend_server*>>{};
     for (const auto* it : pool_.servers_of(work.route->group)) {
         const auto is_primary = permitted && it->id == group.primary.primary;
@@ -274,7 +277,7 @@
     if (sends_begin(work)) {
         const auto& transaction = *session.transaction;
         const auto at_primary = may_use_primary(now, group) && work.server == group.primary.primary;
-        const auto need = at_primary ? read_need{} : need_of(now, work);
+        const auto need = at_primary ? read_need{} : need_of(work);
         if (!at_primary && (work.needs_primary || !need.any_replica)) {
             free_connection(now, work);
             enqueue(now, work);
@@ -313,7 +316,7 @@
         transaction.wrote = transaction.wrote || writes;
     } else {
         const auto at_primary = permitted && work.server == group.primary.primary;
-        const auto need = at_primary ? read_need{} : need_of(now, work);
+        const auto need = at_primary ? read_need{} : need_of(work);
         if (!at_primary && (work.needs_primary || !need.any_replica)) {
             // The permission or the evidence ran out while the connection was prepared.
             free_connection(now, work);
@@ -365,29 +368,37 @@
         return;
     case work_stage::queued:
         if (now >= work.give_up_queued) {
-            const auto without_primary = work.needs_primary && !may_use_primary(now, group_of(work.route->group));
-            finish_with(now, work, session_error::busy,
-                        without_primary ? "no primary may be used now; retry in 500 ms"
-                                        : "no connection is free; retry in 300 ms");
+            const auto permitted = may_use_primary(now, group_of(work.route->group));
+            const auto* why = permitted            ? "no connection is free; retry in 300 ms"
+                              : work.needs_primary ? "no primary may be used now; retry in 500 ms"
+                                                   : "no server with data of the accepted age; retry in 500 ms";
+            finish_with(now, work, session_error::busy, why);
         }
         return;
     case work_stage::preparing:
     case work_stage::running: {
-        const auto silent = pool_.health(work.server).answered_at < work.sent_at && now - work.sent_at > read_silence;
-        const auto movable = work.stage == work_stage::running && !work.writes && !work.in_transaction;
-        if (now >= work.deadline || (movable && silent && now < work.give_up_queued)) {
+        const auto movable = work.stage == work_stage::running && !work.writes &&
+                             now - work.sent_at > patience_of(work) && retry_tokens_ >= 1;
+        if (now >= work.deadline || movable) {
             const auto id = work.connection;
             const auto was_sent = work.stage == work_stage::running;
             work_of_connection_.erase(id);
             close_connection(id);
             pool_.on_failure(work.server, now);
-            on_broken(now, work, now >= work.deadline ? "timeout" : "silent", was_sent);
+            on_broken(now, work, now >= work.deadline ? "timeout" : "no answer", was_sent);
         }
         return;
     }
     }
 }
 
+auto session_proxy::implementation::patience_of(const statement_work& work) const -> duration {
+    const auto it = usual_times_.find(work.route->name);
+    const auto usual = it == usual_times_.end() ? usual_service : it->second;
+    const auto longest = std::chrono::duration_cast<duration>(work.route->statement_timeout * longest_patience_part);
+    return std::min(longest, std::max(shortest_patience, usual * patience_factor));
+}
+
 auto session_proxy::implementation::on_tick(time_point now) -> void {
     auto ids = std::vector<std::uint64_t>{};
     for (const auto& [id, work] : works_) {
