--- a/src/citronlugd/peer.capnp
+++ b/src/citronlugd/peer.capnp
@@ -206,4 +206,6 @@
   ping @7 () -> (configVersion :UInt64);
   cancel @8 (database :Text, account :Text, request :Text);
   report @9 (report :InstanceReport) -> (answer :ReportAnswer);
+  # A coordinator tells an instance that has not reported to it where it is.
+  announce @10 (holder :Text, run :UInt64, token :UInt64, address :Text);
 }
--- a/src/citronlugd/peer.capnp.c++
+++ b/src/citronlugd/peer.capnp.c++
@@ -2594,7 +2594,7 @@
   1, 1, i_ef100642673325ad, nullptr, nullptr, { &s_ef100642673325ad, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<122> b_ed2bc5e0272b2a80 = {
+static const ::capnp::_::AlignedData<133> b_ed2bc5e0272b2a80 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     128,  42,  43,  39, 224, 197,  43, 237,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -2604,93 +2604,101 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 135,   2,   0,   0,
-    185,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 199,   2,   0,   0,
+    229,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     40,   0,   0,   0,   3,   0,   5,   0,
+     44,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,  98,  17, 255, 171, 239, 158, 129,
     162, 153, 161, 159, 136, 200, 168, 232,
-     49,   1,   0,   0,  98,   0,   0,   0,
+     81,   1,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   1,   0,   0,   7,   0,   0,   0,
+     73,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     226, 110, 189, 121, 161, 145,  52, 241,
     102, 178,  77,  44,  55, 159, 218, 197,
-     29,   1,   0,   0,  66,   0,   0,   0,
+     61,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     17,   1,   0,   0,   7,   0,   0,   0,
+     49,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     233,  15,  90, 238,  45, 236, 157, 157,
     127,   2, 118,  83,  31, 252, 241, 154,
-      5,   1,   0,   0,  82,   0,   0,   0,
+     37,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    253,   0,   0,   0,   7,   0,   0,   0,
+     29,   1,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      48, 185, 132,  51, 162, 224, 112, 232,
      42,  95,  18,  18,  89,   0,  13, 188,
-    241,   0,   0,   0,  74,   0,   0,   0,
+     17,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    233,   0,   0,   0,   7,   0,   0,   0,
+      9,   1,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     222, 235,  14, 199, 106, 254, 245, 133,
      33,  19, 140, 250, 146, 128,  26, 174,
-    221,   0,   0,   0,  98,   0,   0,   0,
+    253,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    213,   0,   0,   0,   7,   0,   0,   0,
+    245,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     217,  66, 145, 231,  76, 168, 111, 139,
      75, 166,  55, 234, 120, 206, 160, 237,
-    201,   0,   0,   0,  58,   0,   0,   0,
+    233,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+    221,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     103, 113, 236, 254, 173, 142, 222, 197,
     116, 117, 107, 219, 150, 229, 159, 232,
-    177,   0,   0,   0,  74,   0,   0,   0,
+    209,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,   7,   0,   0,   0,
+    201,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     167, 147, 237, 188, 194,  16,  92, 206,
     154,  46,  62,   7, 246,  88,  14, 199,
-    157,   0,   0,   0,  42,   0,   0,   0,
+    189,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    145,   0,   0,   0,   7,   0,   0,   0,
+    177,   0,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
      46,  44,  44, 172,  12, 110, 199, 207,
     134,  35, 156, 254,  91,  21,  90, 157,
-    133,   0,   0,   0,  58,   0,   0,   0,
+    165,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    121,   0,   0,   0,   7,   0,   0,   0,
+    153,   0,   0,   0,   7,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
      52, 121, 100, 192, 138, 101, 225, 132,
     217,  70,   1, 108, 187, 199,  45, 165,
-    109,   0,   0,   0,  58,   0,   0,   0,
+    141,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    129,   0,   0,   0,   7,   0,   0,   0,
+     10,   0,   0,   0,   0,   0,   0,   0,
+      4,  91, 197, 113,  91,  99,   5, 160,
+     74,  89, 217,  75, 207,  27,  26, 157,
+    117,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,   7,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
      99, 101, 108, 108,  77, 101, 115, 115,
      97, 103, 101,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -2716,6 +2724,9 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     114, 101, 112, 111, 114, 116,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+     97, 110, 110, 111, 117, 110,  99, 101,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_ed2bc5e0272b2a80 = b_ed2bc5e0272b2a80.words;
@@ -2726,8 +2737,10 @@
   &s_85f5fe6ac70eebde,
   &s_8b6fa84ce79142d9,
   &s_9af1fc1f5376027f,
+  &s_9d1a1bcf4bd9594a,
   &s_9d5a155bfe9c2386,
   &s_9d9dec2dee5a0fe9,
+  &s_a005635b71c55b04,
   &s_a52dc7bb6c0146d9,
   &s_ae1a8092fa8c1321,
   &s_bc0d005912125f2a,
@@ -2742,10 +2755,10 @@
   &s_eda0ce78ea37a64b,
   &s_f13491a179bd6ee2,
 };
-static const uint16_t m_ed2bc5e0272b2a80[] = {8, 0, 1, 4, 3, 5, 7, 9, 2, 6};
+static const uint16_t m_ed2bc5e0272b2a80[] = {10, 8, 0, 1, 4, 3, 5, 7, 9, 2, 6};
 const ::capnp::_::RawSchema s_ed2bc5e0272b2a80 = {
-  0xed2bc5e0272b2a80, b_ed2bc5e0272b2a80.words, 122, d_ed2bc5e0272b2a80, m_ed2bc5e0272b2a80,
-  20, 10, nullptr, nullptr, nullptr, { &s_ed2bc5e0272b2a80, nullptr, nullptr, 0, 0, nullptr }
+  0xed2bc5e0272b2a80, b_ed2bc5e0272b2a80.words, 133, d_ed2bc5e0272b2a80, m_ed2bc5e0272b2a80,
+  22, 11, nullptr, nullptr, nullptr, { &s_ed2bc5e0272b2a80, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<78> b_819eefabff116200 = {
@@ -3838,6 +3851,120 @@
   1, 1, i_a52dc7bb6c0146d9, nullptr, nullptr, { &s_a52dc7bb6c0146d9, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<77> b_a005635b71c55b04 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+      4,  91, 197, 113,  91,  99,   5, 160,
+     16,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+     97, 110, 110, 111, 117, 110,  99, 101,
+     36,  80,  97, 114,  97, 109, 115,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+    104, 111, 108, 100, 101, 114,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 117, 110,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 111, 107, 101, 110,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 100, 100, 114, 101, 115, 115,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a005635b71c55b04 = b_a005635b71c55b04.words;
+#if !CAPNP_LITE
+static const uint16_t m_a005635b71c55b04[] = {3, 0, 1, 2};
+static const uint16_t i_a005635b71c55b04[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_a005635b71c55b04 = {
+  0xa005635b71c55b04, b_a005635b71c55b04.words, 77, nullptr, m_a005635b71c55b04,
+  0, 4, i_a005635b71c55b04, nullptr, nullptr, { &s_a005635b71c55b04, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_9d1a1bcf4bd9594a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     74,  89, 217,  75, 207,  27,  26, 157,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+     97, 110, 110, 111, 117, 110,  99, 101,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9d1a1bcf4bd9594a = b_9d1a1bcf4bd9594a.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_9d1a1bcf4bd9594a = {
+  0x9d1a1bcf4bd9594a, b_9d1a1bcf4bd9594a.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_9d1a1bcf4bd9594a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -4193,6 +4320,16 @@
       "peer.capnp:Peer", "report",
       0xed2bc5e0272b2a80ull, 9);
 }
+::capnp::Request< ::citronlug::wire::Peer::AnnounceParams,  ::citronlug::wire::Peer::AnnounceResults>
+Peer::Client::announceRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::citronlug::wire::Peer::AnnounceParams,  ::citronlug::wire::Peer::AnnounceResults>(
+      0xed2bc5e0272b2a80ull, 10, sizeHint);
+}
+::kj::Promise<void> Peer::Server::announce(AnnounceContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "announce",
+      0xed2bc5e0272b2a80ull, 10);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -4267,6 +4404,12 @@
              ::citronlug::wire::Peer::ReportParams,  ::citronlug::wire::Peer::ReportResults>(context)),
         false
       };
+    case 10:
+      return {
+        announce(::capnp::Capability::Server::internalGetTypedContext<
+             ::citronlug::wire::Peer::AnnounceParams,  ::citronlug::wire::Peer::AnnounceResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -4442,6 +4585,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::ReportResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::AnnounceParams
+constexpr uint16_t Peer::AnnounceParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::AnnounceParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::AnnounceParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::AnnounceParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::AnnounceResults
+constexpr uint16_t Peer::AnnounceResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::AnnounceResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::AnnounceResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::AnnounceResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/citronlugd/peer.capnp.h
+++ b/src/citronlugd/peer.capnp.h
@@ -64,6 +64,8 @@
 CAPNP_DECLARE_SCHEMA(9d5a155bfe9c2386);
 CAPNP_DECLARE_SCHEMA(84e1658ac0647934);
 CAPNP_DECLARE_SCHEMA(a52dc7bb6c0146d9);
+CAPNP_DECLARE_SCHEMA(a005635b71c55b04);
+CAPNP_DECLARE_SCHEMA(9d1a1bcf4bd9594a);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -479,6 +481,8 @@
   struct CancelResults;
   struct ReportParams;
   struct ReportResults;
+  struct AnnounceParams;
+  struct AnnounceResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -788,6 +792,36 @@
   };
 };
 
+struct Peer::AnnounceParams {
+  AnnounceParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a005635b71c55b04, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::AnnounceResults {
+  AnnounceResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9d1a1bcf4bd9594a, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Heartbeat::Reader {
@@ -3425,6 +3459,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::citronlug::wire::Peer::ReportParams,  ::citronlug::wire::Peer::ReportResults> reportRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::citronlug::wire::Peer::AnnounceParams,  ::citronlug::wire::Peer::AnnounceResults> announceRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -3481,6 +3517,10 @@
   typedef  ::citronlug::wire::Peer::ReportResults ReportResults;
   typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
   virtual ::kj::Promise<void> report(ReportContext context);
+  typedef  ::citronlug::wire::Peer::AnnounceParams AnnounceParams;
+  typedef  ::citronlug::wire::Peer::AnnounceResults AnnounceResults;
+  typedef ::capnp::CallContext<AnnounceParams, AnnounceResults> AnnounceContext;
+  virtual ::kj::Promise<void> announce(AnnounceContext context);
 
   inline  ::citronlug::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -5174,6 +5214,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::AnnounceParams::Reader {
+public:
+  typedef AnnounceParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHolder() const;
+  inline  ::capnp::Text::Reader getHolder() const;
+
+  inline  ::uint64_t getRun() const;
+
+  inline  ::uint64_t getToken() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AnnounceParams::Builder {
+public:
+  typedef AnnounceParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHolder();
+  inline  ::capnp::Text::Builder getHolder();
+  inline void setHolder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHolder(unsigned int size);
+  inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHolder();
+
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AnnounceParams::Pipeline {
+public:
+  typedef AnnounceParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AnnounceResults::Reader {
+public:
+  typedef AnnounceResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AnnounceResults::Builder {
+public:
+  typedef AnnounceResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AnnounceResults::Pipeline {
+public:
+  typedef AnnounceResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool Heartbeat::Reader::hasFrom() const {
@@ -9087,6 +9299,102 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::AnnounceParams::Reader::hasHolder() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AnnounceParams::Builder::hasHolder() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::AnnounceParams::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::AnnounceParams::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::AnnounceParams::Builder::setHolder( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::AnnounceParams::Builder::initHolder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::AnnounceParams::Builder::adoptHolder(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::AnnounceParams::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::AnnounceParams::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::AnnounceParams::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AnnounceParams::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::AnnounceParams::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::AnnounceParams::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AnnounceParams::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::AnnounceParams::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AnnounceParams::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::AnnounceParams::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::AnnounceParams::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::AnnounceParams::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::AnnounceParams::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::AnnounceParams::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::AnnounceParams::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/citronlugd/peer_rpc.cpp
+++ b/src/citronlugd/peer_rpc.cpp
@@ -558,6 +558,20 @@
         [done](auto& it) { done(decode(it.getAnswer())); }, [done] { done(std::nullopt); });
 }
 
+auto peer_rpc::announce(const std::string& address, const duty_record& duty) -> void {
+    impl_->call_short(
+        address, clock_now() + 300ms,
+        [duty](wire::Peer::Client& peer) {
+            auto it = peer.announceRequest();
+            it.setHolder(duty.holder.value);
+            it.setRun(duty.run);
+            it.setToken(duty.token);
+            it.setAddress(duty.peer_address);
+            return it.send();
+        },
+        [](auto&) {}, [] {});
+}
+
 auto peer_rpc::config_version(const std::string& address,
                               std::function<void(std::optional<std::uint64_t>)> done) -> void {
     impl_->call_short(
--- a/src/citronlugd/peer_rpc.h
+++ b/src/citronlugd/peer_rpc.h
@@ -49,6 +49,7 @@
     std::function<std::vector<timeline_event>(const timeline_filter&)> timeline;
     std::function<void(database_id, account_id, request_id)> cancel;
     std::function<void(instance_report, std::function<void(report_answer)>)> report;
+    std::function<void(duty_record)> announce;
 };
 
 struct peer_counters {
@@ -91,6 +92,8 @@
     /// Report to the coordinator.
     auto report(const std::string& address, instance_report report,
                 std::function<void(std::optional<report_answer>)> done) -> void;
+    /// Tells an instance who coordinates. Not repeated if it is lost.
+    auto announce(const std::string& address, const duty_record& duty) -> void;
     [[nodiscard]] auto counters() const -> peer_counters;
     auto stop() -> void;
 
--- a/src/citronlugd/peer_server.cpp
+++ b/src/citronlugd/peer_server.cpp
@@ -99,6 +99,13 @@
             [context](const report_answer& it) mutable { encode(it, context.getResults().initAnswer()); });
     }
 
+    auto announce(AnnounceContext context) -> kj::Promise<void> override {
+        const auto params = context.getParams();
+        state_->services.announce({instance_id{std::string{params.getHolder()}}, params.getRun(), params.getToken(),
+                                   0, std::string{params.getAddress()}, {}});
+        return kj::READY_NOW;
+    }
+
     auto giveBack(GiveBackContext context) -> kj::Promise<void> override {
         const auto params = context.getParams();
         state_->services.give_back(account_id{std::string{params.getAccount()}}, params.getTokens(),
--- a/src/include/citronlug/primary_coordinator.h
+++ b/src/include/citronlug/primary_coordinator.h
@@ -58,6 +58,7 @@
     /// Number of registered instances, and of those that reported lately.
     [[nodiscard]] auto registered() const -> std::uint32_t;
     [[nodiscard]] auto heard(time_point now) const -> std::uint32_t;
+    [[nodiscard]] auto hears(time_point now, const instance_id& instance) const -> bool;
     /// Newest position that the primary of the group stated to this coordinator, and when it was asked for.
     [[nodiscard]] auto sample_of(const group_id& group) const -> std::optional<std::pair<time_point, position>>;
 
--- a/src/include/citronlug/server_pool.h
+++ b/src/include/citronlug/server_pool.h
@@ -53,6 +53,7 @@
     time_point usable_at;         ///< not chosen before, after failures
     time_point current_at;        ///< a replica that lacked a position is not chosen for reads before
     time_point room_at;           ///< no connection above the share before, after the server had no room
+    time_point open_at;           ///< no connection at all is opened before
     time_point answered_at;       ///< last answer
 };
 
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -306,6 +306,11 @@
         }
     }
 
+    [[nodiscard]] auto hears(time_point now, const instance_id& instance) const -> bool {
+        const auto it = reports_.find(instance);
+        return it != reports_.end() && now - it->second.first < report_life;
+    }
+
     [[nodiscard]] auto heard(time_point now) const -> std::uint32_t {
         return static_cast<std::uint32_t>(std::count_if(reports_.begin(), reports_.end(), [&](const auto& it) {
             return now - it.second.first < report_life;
@@ -809,6 +814,10 @@
     return impl_->heard(now);
 }
 
+auto primary_coordinator::hears(time_point now, const instance_id& instance) const -> bool {
+    return impl_->hears(now, instance);
+}
+
 auto primary_coordinator::sample_of(const group_id& group) const -> std::optional<std::pair<time_point, position>> {
     const auto it = impl_->groups_.find(group);
     return it == impl_->groups_.end() || !it->second.sample
--- a/src/libcitronlug/server_pool.cpp
+++ b/src/libcitronlug/server_pool.cpp
@@ -23,6 +23,8 @@
 constexpr auto lagging_pause = duration{120ms};
 /// After a server had no room, no connection above the share is opened for this time.
 constexpr auto no_room_pause = duration{2s};
+/// And none at all for this time.
+constexpr auto refused_pause = duration{100ms};
 /// Idle connections above the share are closed after this time.
 constexpr auto surplus_idle = duration{1s};
 
@@ -163,6 +165,9 @@
 
 auto server_pool::open(const backend_server& server, const account_id& account, time_point now) -> opening {
     auto result = opening{};
+    if (health(server.id).open_at > now) {
+        return result;
+    }
     if (usage_of(server.id).total() >= limit_of(server, now)) {
         auto* oldest = static_cast<server_connection*>(nullptr);
         for (auto& [id, it] : connections_) {
@@ -242,6 +247,7 @@
 
 auto server_pool::on_no_room(const server_id& id, time_point now) -> void {
     health(id).room_at = now + no_room_pause;
+    health(id).open_at = now + refused_pause;
 }
 
 auto server_pool::surplus(time_point now) -> std::vector<connection_id> {
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -395,6 +395,7 @@
         {{"request", work.statement.id},
          {"session", std::to_string(work.caller)},
          {"route", work.route->name},
+         {"account", work.account.value},
          {"verb", std::string{name_of(work.statement.verb)}},
          {"code", answer.error ? std::string{name_of(answer.error->code)} : std::string{"ok"}},
          {"why", answer.error ? answer.error->text : std::string{}},
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -12,6 +12,10 @@
 
 namespace citronlug {
 
+/// Instances that an instance counts with until the coordinator has told it the number: its share of the servers'
+/// connections is small then, so that a fleet that starts at once does not exceed what they accept.
+inline constexpr auto unknown_instances = std::uint32_t{16};
+
 /// An open transaction of a caller.
 struct session_transaction {
     std::shared_ptr<const session_route> route;
@@ -186,7 +190,7 @@
     std::set<std::uint64_t> waiting_for_tokens_;
     std::unordered_map<std::string, duration> usual_times_; ///< moving average of a statement at its server, by route
     std::uint64_t next_work_ = 1;
-    std::uint32_t instances_ = 1;
+    std::uint32_t instances_ = unknown_instances;
     double retry_tokens_ = 10; ///< an instance that has just started may retry too
     bool leaving_ = false;
     time_point leaving_at_;
--- a/src/sessiond/fleet_link.cpp
+++ b/src/sessiond/fleet_link.cpp
@@ -2,10 +2,10 @@
 
 namespace citronlug {
 
-fleet_link::fleet_link(instance_id self, std::string own_address, report_handler serve)
+fleet_link::fleet_link(instance_id self, std::string own_address, handlers on)
     : self_{std::move(self)}
     , own_address_{std::move(own_address)}
-    , serve_{std::move(serve)} {}
+    , on_{std::move(on)} {}
 
 fleet_link::~fleet_link() {
     if (rpc_) {
@@ -19,7 +19,14 @@
     }
     auto services = peer_services{};
     services.report = [this](instance_report report, std::function<void(report_answer)> done) {
-        tasks_.post([this, report = std::move(report), done = std::move(done)] { done(serve_(report)); });
+        tasks_.post([this, report = std::move(report), done = std::move(done)] { done(on_.report(report)); });
+    };
+    services.announce = [this](const duty_record& duty) {
+        tasks_.post([this, duty] { on_.announce(duty); });
+    };
+    services.fetch_config = [this](std::uint64_t version) {
+        const auto lock = std::lock_guard{guard_};
+        return rules_.version > version ? config_reply{rules_.version, rules_.value} : config_reply{};
     };
     rpc_ = std::make_unique<peer_rpc>(self_, secret, std::move(services));
     rpc_->listen(own_address_);
@@ -27,7 +34,7 @@
 
 auto fleet_link::report(const std::string& address, const instance_report& report, answer_handler done) -> void {
     if (address == own_address_) {
-        tasks_.post([this, report, done = std::move(done)] { done(serve_(report)); });
+        tasks_.post([this, report, done = std::move(done)] { done(on_.report(report)); });
         return;
     }
     if (!rpc_) {
@@ -39,4 +46,27 @@
     });
 }
 
+auto fleet_link::announce(const std::string& address, const duty_record& duty) -> void {
+    if (rpc_ && address != own_address_) {
+        rpc_->announce(address, duty);
+    }
+}
+
+auto fleet_link::set_rules(rules_text rules) -> void {
+    const auto lock = std::lock_guard{guard_};
+    rules_ = std::move(rules);
+}
+
+auto fleet_link::fetch_rules(const std::string& address, std::uint64_t version, std::function<void(rules_text)> done)
+    -> void {
+    if (!rpc_ || address == own_address_) {
+        done({});
+        return;
+    }
+    rpc_->fetch_config(address, version, [this, done = std::move(done)](const std::optional<config_reply>& reply) {
+        auto found = reply ? rules_text{reply->version, reply->text} : rules_text{};
+        tasks_.post([done, found = std::move(found)] { done(found); });
+    });
+}
+
 } // namespace citronlug
--- a/src/sessiond/fleet_link.h
+++ b/src/sessiond/fleet_link.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -18,8 +19,17 @@
 public:
     using report_handler = std::function<report_answer(const instance_report&)>;
     using answer_handler = std::function<void(std::optional<report_answer>)>;
-
-    fleet_link(instance_id self, std::string own_address, report_handler serve);
+    /// The operators' rules as the store holds them.
+    struct rules_text {
+        std::uint64_t version = 0; ///< 0: none
+        std::string value;
+    };
+    struct handlers {
+        report_handler report;
+        std::function<void(const duty_record&)> announce; ///< somebody has taken the coordinator's duty
+    };
+
+    fleet_link(instance_id self, std::string own_address, handlers on);
     ~fleet_link();
     fleet_link(const fleet_link&) = delete;
     auto operator=(const fleet_link&) -> fleet_link& = delete;
@@ -27,11 +37,18 @@
     /// Starts to listen once the secret of the fleet is known.
     auto start(const std::string& secret) -> void;
     auto report(const std::string& address, const instance_report& report, answer_handler done) -> void;
+    auto announce(const std::string& address, const duty_record& duty) -> void;
+    /// What other instances are given when they ask for rules.
+    auto set_rules(rules_text rules) -> void;
+    /// Asks an instance for rules newer than `version`.
+    auto fetch_rules(const std::string& address, std::uint64_t version, std::function<void(rules_text)> done) -> void;
 
 private:
     instance_id self_;
     std::string own_address_;
-    report_handler serve_;
+    handlers on_;
+    std::mutex guard_;
+    rules_text rules_; ///< under the guard; read on the RPC thread
     task_queue tasks_; ///< answers come on the RPC thread
     std::unique_ptr<peer_rpc> rpc_;
 };
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -2,6 +2,8 @@
 
 #include <QHostAddress>
 #include <QHttpServerResponse>
+#include <QJsonDocument>
+#include <QJsonObject>
 
 #include <fmt/format.h>
 
@@ -29,6 +31,8 @@
 /// Left of the time for leaving, for the exit itself.
 constexpr auto exit_margin = duration{600ms};
 constexpr auto listen_backlog = 512;
+/// Announcements to instances that the coordinator does not hear.
+constexpr auto announce_interval = duration{500ms};
 
 auto random_number() -> std::uint64_t {
     auto source = std::random_device{};
@@ -63,7 +67,13 @@
                   coordinator_.on_probe(clock_now(), id, asked_at, result);
               }}
     , fleet_{settings_.instance, settings_.peer_address,
-             [this](const instance_report& report) { return serve_report(report); }}
+             {[this](const instance_report& report) { return serve_report(report); },
+              [this](const duty_record& duty) {
+                  if (!announced_ || duty.token > announced_->token) {
+                      announced_ = duty;
+                      report_now_ = true;
+                  }
+              }}}
     , rules_{record_kind::rules, store_mirror{rules_watch}}
     , servers_{record_kind::servers, store_mirror{servers_watch}}
     , records_{record_kind::coordination, store_mirror{records_watch}} {}
@@ -249,11 +259,12 @@
         if (in_force_) {
             ledger_.set_limits(now, *in_force_);
         }
-        list_instances({}, std::make_shared<std::set<instance_id>>());
+        list_instances({}, std::make_shared<instance_addresses>());
     }
     held_duty_ = holds;
     if (holds) {
-        ledger_.set_instances(now, static_cast<std::uint32_t>(known_instances_.size()), coordinator_.heard(now));
+        ledger_.set_instances(now, static_cast<std::uint32_t>(instances_.size()), coordinator_.heard(now));
+        announce_duty(now);
     }
     proxy_.on_tick(now);
     probes_.on_tick(now);
@@ -301,7 +312,7 @@
     case record_kind::rules:
         for (const auto& change : changes) {
             if (!change.removed) {
-                apply_rules(now, change.record);
+                apply_rules(now, change.record.value);
             }
         }
         break;
@@ -345,8 +356,8 @@
     pump_mirrors(now);
 }
 
-auto session_daemon::apply_rules(time_point now, const store_record& record) -> void {
-    auto decoded = platform_.records.decode_rules(record.value);
+auto session_daemon::apply_rules(time_point now, const std::string& value) -> void {
+    auto decoded = platform_.records.decode_rules(value);
     if (const auto* why = std::get_if<failure>(&decoded)) {
         log(log_level::error, log_event::rules_applied, {{"version", "none"}, {"why", why->message}});
         return;
@@ -356,6 +367,7 @@
         return;
     }
     in_force_ = rules;
+    fleet_.set_rules({rules->version, value});
     proxy_.set_rules(now, rules);
     coordinator_.set_groups(rules->groups);
     ledger_.set_limits(now, *rules);
@@ -436,21 +448,26 @@
     });
 }
 
-auto session_daemon::list_instances(const std::string& after, std::shared_ptr<std::set<instance_id>> found) -> void {
+auto session_daemon::list_instances(const std::string& after, std::shared_ptr<instance_addresses> found) -> void {
     metrics_.count("citronlug_store_calls_total", {{"kind", "instances"}, {"call", "list"}});
     platform_.store.list(record_kind::instances, after, [this, found](const store_answer& answer) {
         if (answer.outcome != store_outcome::ok) {
             return; // asked for again while it is needed
         }
         for (const auto& it : answer.records) {
-            found->insert(instance_id{it.name});
+            const auto value = QJsonDocument::fromJson(QByteArray::fromStdString(it.value)).object();
+            (*found)[instance_id{it.name}] = value["peer_address"].toString().toStdString();
         }
         if (answer.has_more && !answer.records.empty()) {
             list_instances(answer.records.back().name, found);
             return;
         }
-        known_instances_ = *found;
-        coordinator_.on_instances(clock_now(), *found);
+        instances_ = *found;
+        auto names = std::set<instance_id>{};
+        for (const auto& [name, address] : instances_) {
+            names.insert(name);
+        }
+        coordinator_.on_instances(clock_now(), names);
     });
 }
 
@@ -466,7 +483,7 @@
                                   coordinator_.on_written(clock_now(), name, now, outcome, answer.revision);
                               });
     } else if (std::holds_alternative<struct list_instances>(action)) {
-        list_instances({}, std::make_shared<std::set<instance_id>>());
+        list_instances({}, std::make_shared<instance_addresses>());
     } else if (const auto* probe = std::get_if<probe_server>(&action)) {
         const auto it = known_servers_.find(probe->server);
         if (it != known_servers_.end()) {
@@ -516,7 +533,7 @@
 }
 
 auto session_daemon::send_report(time_point now) -> void {
-    const auto& duty = coordinator_.duty();
+    const auto duty = newest_duty();
     if (reporting_ || !duty || duty->holder.empty()) {
         return;
     }
@@ -538,7 +555,7 @@
     const auto heard = answer && answer->holds_duty;
     if (heard != coordinator_answers_) {
         coordinator_answers_ = heard;
-        const auto& duty = coordinator_.duty();
+        const auto duty = newest_duty();
         log(log_level::info, heard ? log_event::dependency_regained : log_event::dependency_lost,
             {{"dependency", "coordinator"}, {"holder", duty ? duty->holder.value : std::string{}}});
     }
@@ -562,8 +579,7 @@
         }
     }
     if (in_force_ && answer->rules_version > in_force_->version) {
-        rules_.mirror.list_again();
-        pump_mirrors(now);
+        catch_up_rules(now, newest_duty()->peer_address);
     }
     apply_primaries(now);
     proxy_.on_tokens(now);
@@ -572,6 +588,39 @@
     }
 }
 
+auto session_daemon::newest_duty() const -> std::optional<duty_record> {
+    const auto& stored = coordinator_.duty();
+    return announced_ && (!stored || announced_->token > stored->token) ? announced_ : stored;
+}
+
+auto session_daemon::announce_duty(time_point now) -> void {
+    if (now - announced_at_ < announce_interval) {
+        return;
+    }
+    announced_at_ = now;
+    for (const auto& [name, address] : instances_) {
+        if (!address.empty() && !coordinator_.hears(now, name)) {
+            fleet_.announce(address, *coordinator_.duty());
+        }
+    }
+}
+
+auto session_daemon::catch_up_rules(time_point now, const std::string& address) -> void {
+    rules_.mirror.list_again();
+    pump_mirrors(now);
+    if (rules_.mirror.is_available() || fetching_rules_) {
+        return;
+    }
+    // The store does not serve this instance now; the coordinator has the rules too.
+    fetching_rules_ = true;
+    fleet_.fetch_rules(address, in_force_->version, [this](const fleet_link::rules_text& rules) {
+        fetching_rules_ = false;
+        if (rules.version > 0) {
+            apply_rules(clock_now(), rules.value);
+        }
+    });
+}
+
 auto session_daemon::serve_report(const instance_report& report) -> report_answer {
     const auto now = clock_now();
     auto answer = report_answer{};
@@ -579,9 +628,9 @@
         return answer;
     }
     coordinator_.on_report(now, report);
-    known_instances_.insert(report.instance);
+    instances_.try_emplace(report.instance);
     answer.holds_duty = true;
-    answer.instances = static_cast<std::uint32_t>(known_instances_.size());
+    answer.instances = static_cast<std::uint32_t>(instances_.size());
     answer.rules_version = in_force_ ? in_force_->version : 0;
     for (const auto& [id, record] : coordinator_.records()) {
         auto word = group_word{};
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -67,12 +67,19 @@
     auto on_tick() -> void;
     auto pump_mirrors(time_point now) -> void;
     auto on_store_answer(mirrored& it, std::uint64_t call, time_point asked_at, const store_answer& answer) -> void;
-    auto apply_rules(time_point now, const store_record& record) -> void;
+    auto apply_rules(time_point now, const std::string& value) -> void;
     auto apply_servers(time_point now) -> void;
     auto apply_primaries(time_point now) -> void;
     auto register_instance(time_point now) -> void;
     auto perform(time_point now, const coordinator_action& action) -> void;
-    auto list_instances(const std::string& after, std::shared_ptr<std::set<instance_id>> found) -> void;
+    using instance_addresses = std::map<instance_id, std::string>;
+    auto list_instances(const std::string& after, std::shared_ptr<instance_addresses> found) -> void;
+    /// The coordinator tells registered instances that it does not hear where it is; they may not reach the store.
+    auto announce_duty(time_point now) -> void;
+    /// The newest duty record known from the store or an announcement.
+    [[nodiscard]] auto newest_duty() const -> std::optional<duty_record>;
+    /// The coordinator has newer rules than this instance.
+    auto catch_up_rules(time_point now, const std::string& address) -> void;
 
     auto make_report(time_point now, bool with_questions) -> instance_report;
     auto send_report(time_point now) -> void;
@@ -124,7 +131,10 @@
         primary_record record;
     };
     std::map<group_id, word> words_; ///< of the coordinator, by group
-    std::set<instance_id> known_instances_;
+    instance_addresses instances_; ///< registered ones, known while this instance coordinates
+    std::optional<duty_record> announced_;
+    time_point announced_at_;
+    bool fetching_rules_ = false;
     bool held_duty_ = false;
     bool reporting_ = false;
     time_point reported_at_;
