--- a/src/libcitronlug/server_pool.cpp
+++ b/src/libcitronlug/server_pool.cpp
@@ -8,8 +8,11 @@
 
 /// Connections of a server that instances leave for status probes and for instances that are starting.
 constexpr auto reserved_connections = std::uint32_t{2};
+/// Part of a server's connections that the fleet keeps open in calm times. A server keeps the connections of an instance
+/// that lost power for seconds; the rest lets that instance work meanwhile.
+constexpr auto kept_part = 0.5;
 /// An instance may open this many times its share while the server has room, because callers are spread unevenly.
-constexpr auto most_shares = std::uint32_t{3};
+constexpr auto most_shares = std::uint32_t{4};
 /// Expected time to open a connection; the servers' stated cost of a handshake and a round trip.
 constexpr auto opening_time = duration{15ms};
 /// Two network crossings between failure domains, and the cost of their bytes.
@@ -32,7 +35,7 @@
 
 auto budget_of(std::uint32_t server_connections, std::uint32_t instances) -> connection_budget {
     const auto usable = server_connections > reserved_connections ? server_connections - reserved_connections : 1U;
-    const auto share = std::max(1U, usable / std::max(1U, instances));
+    const auto share = std::max(1U, static_cast<std::uint32_t>(usable * kept_part) / std::max(1U, instances));
     return {share, std::max(share, std::min(usable, share * most_shares))};
 }
 
