--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -21,6 +21,9 @@
 constexpr auto servers_watch = duration{5s};
 constexpr auto rules_watch = duration{8s};
 constexpr auto primaries_watch = duration{8s};
+/// The coordinator's own watch of the rules: all others learn from it, so it must not miss a change for long, also when
+/// the store drops its history and leaves watches without an answer.
+constexpr auto rules_watch_coordinator = duration{1200ms};
 /// Without the coordinator's answers. Watches of the primaries then renew the permissions.
 constexpr auto rules_watch_alone = duration{1900ms};
 constexpr auto primaries_watch_alone = duration{900ms};
@@ -276,7 +279,10 @@
         }
         list_instances({}, std::make_shared<instance_addresses>());
     }
-    held_duty_ = holds;
+    if (held_duty_ != holds) {
+        held_duty_ = holds;
+        set_watch_waits();
+    }
     if (holds) {
         ledger_.set_instances(now, static_cast<std::uint32_t>(instances_.size()), coordinator_.heard(now));
         announce_duty(now);
@@ -390,10 +396,14 @@
 }
 
 auto session_daemon::set_watch_waits() -> void {
-    rules_.mirror.set_watch_wait(coordinator_answers_ ? rules_watch : rules_watch_alone);
+    rules_.mirror.set_watch_wait(held_duty_             ? rules_watch_coordinator
+                                 : coordinator_answers_ ? rules_watch
+                                                        : rules_watch_alone);
     primaries_.mirror.set_watch_wait(coordinator_answers_ ? primaries_watch : primaries_watch_alone);
-    if (!coordinator_answers_) {
+    if (!coordinator_answers_ || held_duty_) {
         rules_.mirror.list_again();
+    }
+    if (!coordinator_answers_) {
         primaries_.mirror.list_again();
     }
 }
