--- a/src/libcitronlug/account_gate.cpp
+++ b/src/libcitronlug/account_gate.cpp
@@ -12,6 +12,9 @@
 
 /// Unheard instances for which the accountant keeps nothing free: the permitted excess over a window covers them.
 constexpr auto covered_instances = 1.5;
+/// Part of a burst that a new accountant may hand out at once. A window that contains the change of accountant then stays
+/// within the permitted excess, and accounts within their rate need not wait for the bucket to fill.
+constexpr auto first_part = 0.3;
 /// Least part of a rate that the accountant hands out, however many instances it does not hear.
 constexpr auto least_factor = 0.4;
 
@@ -109,7 +112,11 @@
         limits_[id] = account.limit;
         const auto it = buckets_.find(id);
         if (it == buckets_.end()) {
-            buckets_.emplace(id, accountant{reduced(account.limit), now, true});
+            // A bucket that began to fill this long ago.
+            const auto since = account.limit.rate > 0 ? seconds{account.limit.burst * first_part / account.limit.rate}
+                                                      : seconds{0};
+            buckets_.emplace(
+                id, accountant{reduced(account.limit), now - std::chrono::duration_cast<duration>(since), true});
         } else {
             it->second.set_limit(now, reduced(account.limit));
         }
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -323,6 +323,10 @@
         return;
     }
     work.tried.insert(work.server);
+    const auto servers = pool_.servers_of(work.route->group);
+    if (std::all_of(servers.begin(), servers.end(), [&](const auto* it) { return work.tried.contains(it->id); })) {
+        work.tried.clear();
+    }
     retry(now, work, why);
 }
 
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -125,6 +125,7 @@
     auto start_work(time_point now, caller_session& session, session_statement statement,
                     std::shared_ptr<const session_route> route) -> statement_work&;
     auto admit(time_point now, statement_work& work) -> void;
+    [[nodiscard]] auto token_deadline(time_point now, const statement_work& work) const -> time_point;
     auto enqueue(time_point now, statement_work& work) -> void;
     auto pump(time_point now, const group_id& group) -> void;
     /// Whether a connection is idle for the work; opens one if none is.
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -22,9 +22,10 @@
 /// Reads go to the primary, which alone serves writes, if the replicas are this much slower.
 constexpr auto primary_reserve = duration{25ms};
 /// A statement without lasting effect is given up at its server after this many times its usual time, within these
-/// bounds, so that it can run elsewhere while its caller waits. Answers the loss of single answers and of servers.
-constexpr auto patience_factor = 5;
-constexpr auto shortest_patience = duration{180ms};
+/// bounds, so that it can run elsewhere while its caller waits; twice as late with each attempt, because some statements
+/// take long everywhere. Answers the loss of single answers and of servers.
+constexpr auto patience_factor = 8;
+constexpr auto shortest_patience = duration{300ms};
 constexpr auto longest_patience_part = 0.5; ///< of the statement timeout
 /// A connection that is not open by then counts as failed.
 constexpr auto opening_limit = duration{600ms};
@@ -81,7 +82,7 @@
 }
 
 auto session_proxy::implementation::admit(time_point now, statement_work& work) -> void {
-    const auto deadline = work.received + std::min(token_wait, work.route->statement_timeout);
+    const auto deadline = token_deadline(now, work);
     const auto outcome =
         work.route->open_to_all ? admission::admitted : gate_.admit(now, work.account, deadline);
     switch (outcome) {
@@ -110,6 +111,11 @@
     acknowledge(session);
 }
 
+auto session_proxy::implementation::token_deadline(time_point now, const statement_work& work) const -> time_point {
+    // Without the coordinator nobody knows whether the account is over its rate, so its callers may wait longer.
+    return gate_.has_accountant(now) ? std::min(work.received + token_wait, work.give_up_queued) : work.give_up_queued;
+}
+
 auto session_proxy::implementation::enqueue(time_point now, statement_work& work) -> void {
     work.stage = work_stage::queued;
     work.connection = 0;
@@ -362,8 +368,10 @@
 auto session_proxy::implementation::expire(time_point now, statement_work& work) -> void {
     switch (work.stage) {
     case work_stage::admission:
-        if (now >= work.received + token_wait) {
-            finish_with(now, work, session_error::busy, "the client account is over its rate; retry in 1 s");
+        if (now >= token_deadline(now, work)) {
+            finish_with(now, work, session_error::busy,
+                        gate_.has_accountant(now) ? "the client account is over its rate; retry in 1 s"
+                                                  : "the coordinator does not answer; retry in 500 ms");
         }
         return;
     case work_stage::queued:
@@ -396,7 +404,8 @@
     const auto it = usual_times_.find(work.route->name);
     const auto usual = it == usual_times_.end() ? usual_service : it->second;
     const auto longest = std::chrono::duration_cast<duration>(work.route->statement_timeout * longest_patience_part);
-    return std::min(longest, std::max(shortest_patience, usual * patience_factor));
+    const auto first = std::max(shortest_patience, usual * patience_factor);
+    return std::min(longest, first * (1U << std::min(work.attempts > 0 ? work.attempts - 1 : 0U, 3U)));
 }
 
 auto session_proxy::implementation::on_tick(time_point now) -> void {
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -214,6 +214,8 @@
     if (it == sockets_.end()) {
         return;
     }
+    ++unsent_;
+    QObject::connect(it->second.socket, &QObject::destroyed, this, [this] { --unsent_; });
     it->second.socket->finish();
     sockets_.erase(it);
     // The session may be in use by the function that closes it.
@@ -721,7 +723,7 @@
 
 auto session_daemon::finish_leaving(time_point now) -> void {
     const auto passed = now - leaving_at_;
-    if ((sockets_.empty() && passed >= notice_time) || passed >= settings_.leave_time - exit_margin) {
+    if ((sockets_.empty() && unsent_ == 0 && passed >= notice_time) || passed >= settings_.leave_time - exit_margin) {
         log(log_level::info, log_event::process_stopped, {{"sessions_cut", std::to_string(sockets_.size())}});
         log_.flush(now);
         timer_.stop();
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -116,6 +116,7 @@
     };
     std::map<caller_id, caller> sockets_;
     caller_id next_caller_ = 1;
+    int unsent_ = 0; ///< closed sessions whose last answer is still being sent
 
     mirrored rules_;
     mirrored servers_;
