Do not close a connection for another account's before its own statement has used it

Cause (found by the test of several accounts, which failed since the share per instance was halved): with all connections in use by several client accounts, opening one for the first statement in the queue closed the connection that had just been opened for the next, and the other way round. Idle connections now make room only after 10 ms.

--- a/src/libcitronlug/server_pool.cpp
+++ b/src/libcitronlug/server_pool.cpp
@@ -28,6 +28,9 @@
 constexpr auto no_room_pause = duration{2s};
 /// And none at all for this time.
 constexpr auto refused_pause = duration{100ms};
+/// An idle connection makes room for another client account's only after this time. A connection that has just been
+/// opened would otherwise be closed for the next statement in the queue before its own can use it.
+constexpr auto evicted_idle = duration{10ms};
 /// Idle connections above the share are closed after this time.
 constexpr auto surplus_idle = duration{1s};
 
@@ -174,7 +177,7 @@
     if (usage_of(server.id).total() >= limit_of(server, now)) {
         auto* oldest = static_cast<server_connection*>(nullptr);
         for (auto& [id, it] : connections_) {
-            if (it.server.id == server.id && it.phase == connection_phase::idle &&
+            if (it.server.id == server.id && it.phase == connection_phase::idle && now - it.used_at >= evicted_idle &&
                 (oldest == nullptr || it.used_at < oldest->used_at)) {
                 oldest = &it;
             }
