--- a/src/citronlugd/peer.capnp
+++ b/src/citronlugd/peer.capnp
@@ -154,6 +154,7 @@
   account @0 :Text;
   tokens @1 :UInt32;
   waitUs @2 :Int64;
+  share @3 :Float32;
 }
 
 struct InstanceReport {
@@ -161,6 +162,8 @@
   run @1 :UInt64;
   groups @2 :List(GroupReport);
   questions @3 :List(TokenQuestion);
+  peerAddress @4 :Text;
+  leaving @5 :Bool;
 }
 
 struct GroupWord {
@@ -180,6 +183,8 @@
   rulesVersion @2 :UInt64;
   groups @3 :List(GroupWord);
   tokens @4 :List(TokenAnswer);
+  token @5 :UInt64;
+  renewals @6 :UInt64;
 }
 
 # What a connection offers before it is authenticated.
--- a/src/citronlugd/peer.capnp.h
+++ b/src/citronlugd/peer.capnp.h
@@ -335,7 +335,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a877fb9ff9642259, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a877fb9ff9642259, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -365,7 +365,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c60cb8a5ba5ec98c, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c60cb8a5ba5ec98c, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2626,6 +2626,8 @@
 
   inline  ::int64_t getWaitUs() const;
 
+  inline float getShare() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2667,6 +2669,9 @@
   inline  ::int64_t getWaitUs();
   inline void setWaitUs( ::int64_t value);
 
+  inline float getShare();
+  inline void setShare(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2721,6 +2726,11 @@
   inline bool hasQuestions() const;
   inline  ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>::Reader getQuestions() const;
 
+  inline bool hasPeerAddress() const;
+  inline  ::capnp::Text::Reader getPeerAddress() const;
+
+  inline bool getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2773,6 +2783,16 @@
   inline void adoptQuestions(::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenQuestion,  ::capnp::Kind::STRUCT>> disownQuestions();
 
+  inline bool hasPeerAddress();
+  inline  ::capnp::Text::Builder getPeerAddress();
+  inline void setPeerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPeerAddress(unsigned int size);
+  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2955,6 +2975,10 @@
   inline bool hasTokens() const;
   inline  ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>::Reader getTokens() const;
 
+  inline  ::uint64_t getToken() const;
+
+  inline  ::uint64_t getRenewals() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3006,6 +3030,12 @@
   inline void adoptTokens(::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::TokenAnswer,  ::capnp::Kind::STRUCT>> disownTokens();
 
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
+
+  inline  ::uint64_t getRenewals();
+  inline void setRenewals( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7855,6 +7885,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline float TokenAnswer::Reader::getShare() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float TokenAnswer::Builder::getShare() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TokenAnswer::Builder::setShare(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool InstanceReport::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7971,6 +8015,54 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool InstanceReport::Reader::hasPeerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceReport::Builder::hasPeerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceReport::Reader::getPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceReport::Builder::getPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void InstanceReport::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceReport::Builder::initPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void InstanceReport::Builder::adoptPeerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceReport::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool InstanceReport::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool InstanceReport::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GroupWord::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8258,6 +8350,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ReportAnswer::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReportAnswer::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ReportAnswer::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ReportAnswer::Reader::getRenewals() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReportAnswer::Builder::getRenewals() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ReportAnswer::Builder::setRenewals( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/citronlugd/peer_report_codec.cpp
+++ b/src/citronlugd/peer_report_codec.cpp
@@ -32,6 +32,8 @@
 auto encode(const instance_report& report, wire::InstanceReport::Builder to) -> void {
     to.setInstance(report.instance.value);
     to.setRun(report.run);
+    to.setPeerAddress(report.peer_address);
+    to.setLeaving(report.leaving);
     auto groups = to.initGroups(size_of(report.groups.size()));
     for (auto n = 0U; n < groups.size(); ++n) {
         const auto& from = report.groups[n];
@@ -55,6 +57,8 @@
     auto report = instance_report{};
     report.instance = instance_id{std::string{from.getInstance()}};
     report.run = from.getRun();
+    report.peer_address = std::string{from.getPeerAddress()};
+    report.leaving = from.getLeaving();
     for (const auto it : from.getGroups()) {
         auto group = group_report{};
         group.group = group_id{std::string{it.getGroup()}};
@@ -75,6 +79,8 @@
 
 auto encode(const report_answer& answer, wire::ReportAnswer::Builder to) -> void {
     to.setHoldsDuty(answer.holds_duty);
+    to.setToken(answer.token);
+    to.setRenewals(answer.renewals);
     to.setInstances(answer.instances);
     to.setRulesVersion(answer.rules_version);
     auto groups = to.initGroups(size_of(answer.groups.size()));
@@ -95,12 +101,15 @@
         tokens[n].setAccount(answer.tokens[n].account.value);
         tokens[n].setTokens(answer.tokens[n].tokens);
         tokens[n].setWaitUs(answer.tokens[n].wait.count());
+        tokens[n].setShare(static_cast<float>(answer.tokens[n].share));
     }
 }
 
 auto decode(wire::ReportAnswer::Reader from) -> report_answer {
     auto answer = report_answer{};
     answer.holds_duty = from.getHoldsDuty();
+    answer.token = from.getToken();
+    answer.renewals = from.getRenewals();
     answer.instances = from.getInstances();
     answer.rules_version = from.getRulesVersion();
     for (const auto it : from.getGroups()) {
@@ -116,7 +125,7 @@
     }
     for (const auto it : from.getTokens()) {
         answer.tokens.push_back(
-            {account_id{std::string{it.getAccount()}}, it.getTokens(), duration{it.getWaitUs()}});
+            {account_id{std::string{it.getAccount()}}, it.getTokens(), duration{it.getWaitUs()}, it.getShare()});
     }
     return answer;
 }
--- a/src/include/citronlug/account_gate.h
+++ b/src/include/citronlug/account_gate.h
@@ -5,13 +5,14 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace citronlug {
 
-/// Part of an equal share of a rate that an instance uses while it cannot reach the accountant. The accountant keeps
-/// the same part free for each instance that it does not hear.
-inline constexpr double unheard_share = 0.6;
+/// Part of its share of a rate that an instance uses while it cannot reach the accountant. The accountant keeps the same
+/// part free for instances that it does not hear.
+inline constexpr double unheard_part = 0.9;
 /// An instance without an answer of the accountant for this time goes over to its part of the rate.
 inline constexpr duration accountant_silence = 700ms;
 
@@ -23,12 +24,13 @@
 struct token_answer {
     account_id account;
     std::uint32_t tokens = 0;
-    duration wait{}; ///< until the account has a token
+    duration wait{};  ///< until the account has a token
+    double share = 0; ///< part of the account's rate that this instance used lately
 };
 
 /// Admission of operations by the rate of their client account, at one instance. Tokens come in small batches from
-/// the accountant; without it each instance admits a fixed part of the rate, starting from nothing, so that the sum
-/// over all instances stays within rate and burst. Answers the load of one account that sends many times its rate.
+/// the accountant; without it each instance admits the part of the rate that it used before, starting from nothing, so that
+/// the sum over all instances stays within rate and burst. Answers the load of one account that sends many times its rate.
 /// Not thread-safe.
 class account_gate {
 public:
@@ -49,6 +51,7 @@
     struct entry {
         rate_limit limit;
         std::unique_ptr<limit_policy> granted;
+        double share = 0;     ///< as the accountant last stated it; 0: unknown
         double own_level = 0; ///< tokens while there is no accountant
         time_point own_at;
     };
@@ -66,17 +69,27 @@
 public:
     /// `alone`: no other accountant has handed out tokens within a grant's life.
     auto set_limits(time_point now, const desired_state& rules) -> void;
-    auto set_instances(time_point now, std::uint32_t registered, std::uint32_t heard) -> void;
-    [[nodiscard]] auto take(time_point now, const token_question& asked) -> token_answer;
+    /// Instances that reported lately. For the others a part of each rate is kept free.
+    auto set_heard(time_point now, const std::set<instance_id>& heard) -> void;
+    [[nodiscard]] auto take(time_point now, const instance_id& instance, const token_question& asked) -> token_answer;
     /// Forgets all buckets; new ones start empty.
     auto reset() -> void;
 
 private:
-    [[nodiscard]] auto reduced(rate_limit limit) const -> rate_limit;
+    struct usage {
+        double per_s = 0; ///< moving average of tokens taken
+        time_point at;
+    };
+    struct entry {
+        rate_limit limit;
+        accountant bucket;
+        double factor = 1; ///< part of the rate that is handed out
+        std::map<instance_id, usage> used;
+    };
+
+    [[nodiscard]] static auto present(const usage& it, time_point now) -> double;
 
-    std::map<account_id, rate_limit> limits_;
-    std::map<account_id, accountant> buckets_;
-    double factor_ = 1;
+    std::map<account_id, entry> entries_;
 };
 
 } // namespace citronlug
--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -68,6 +68,8 @@
 struct instance_report {
     instance_id instance;
     incarnation run = 0;
+    std::string peer_address;
+    bool leaving = false; ///< it does not take the duty
     std::vector<group_report> groups;
     std::vector<token_question> questions;
 };
@@ -82,6 +84,8 @@
 
 struct report_answer {
     bool holds_duty = false; ///< false: nothing else is set
+    std::uint64_t token = 0;     ///< of its duty
+    std::uint64_t renewals = 0;  ///< of its duty that the store has confirmed
     std::uint32_t instances = 1; ///< registered
     std::uint64_t rules_version = 0; ///< newest that the holder knows
     std::vector<group_word> groups;
--- a/src/include/citronlug/primary_coordinator.h
+++ b/src/include/citronlug/primary_coordinator.h
@@ -49,9 +49,12 @@
                     std::uint64_t revision) -> void;
     auto on_promotion(time_point now, const group_id& group, promotion_outcome outcome) -> void;
 
+    /// The holder of the duty has answered a report of `asked_at`: its record showed these values then.
+    auto on_holder_heard(time_point asked_at, std::uint64_t token, std::uint64_t renewals) -> void;
+
     /// Decides what is due.
     [[nodiscard]] auto on_tick(time_point now) -> std::vector<coordinator_action>;
-    /// Gives the duty up, so that another instance can take it at once.
+    /// Hands the duty over to an instance that reported lately, or gives it up if there is none.
     [[nodiscard]] auto leave(time_point now) -> std::vector<coordinator_action>;
 
     /// True while this instance coordinates and has read the primaries since it took the duty.
@@ -63,7 +66,7 @@
     [[nodiscard]] auto records() const -> std::map<group_id, primary_record>;
     /// Number of registered instances, and of those that reported lately.
     [[nodiscard]] auto registered() const -> std::uint32_t;
-    [[nodiscard]] auto heard(time_point now) const -> std::uint32_t;
+    [[nodiscard]] auto heard(time_point now) const -> std::set<instance_id>;
     [[nodiscard]] auto hears(time_point now, const instance_id& instance) const -> bool;
     /// Newest position that the primary of the group stated to this coordinator, and when it was asked for.
     [[nodiscard]] auto sample_of(const group_id& group) const -> std::optional<std::pair<time_point, position>>;
--- a/src/libcitronlug/account_gate.cpp
+++ b/src/libcitronlug/account_gate.cpp
@@ -3,6 +3,7 @@
 #include <citronlug/plugin.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace citronlug {
 
@@ -10,8 +11,15 @@
 
 using seconds = std::chrono::duration<double>;
 
-/// Unheard instances for which the accountant keeps nothing free: the permitted excess over a window covers them.
-constexpr auto covered_instances = 1.5;
+/// Part of a rate that unheard instances may use before the accountant keeps anything free for them: the permitted excess
+/// over a window covers it.
+constexpr auto covered_part = 0.12;
+/// Time constant of the average of used tokens.
+constexpr auto usage_window = seconds{3};
+/// An instance that used nothing lately has this part of an equal share.
+constexpr auto idle_part = 0.05;
+/// Part of an equal share that an instance uses before the accountant has stated its share.
+constexpr auto unknown_part = 0.6;
 /// Part of a burst that a new accountant may hand out at once. A window that contains the change of accountant then stays
 /// within the permitted excess, and accounts within their rate need not wait for the bucket to fill.
 constexpr auto first_part = 0.3;
@@ -38,7 +46,7 @@
 }
 
 auto account_gate::admit_alone(time_point now, entry& it) const -> bool {
-    const auto part = unheard_share / std::max(1U, instances_);
+    const auto part = it.share > 0 ? it.share * unheard_part : unknown_part / std::max(1U, instances_);
     const auto passed = std::max(0.0, seconds{now - it.own_at}.count());
     it.own_level = std::min(std::max(1.0, it.limit.burst * part), it.own_level + passed * it.limit.rate * part);
     it.own_at = now;
@@ -88,6 +96,7 @@
         const auto it = entries_.find(answer.account);
         if (it != entries_.end()) {
             it->second.granted->on_grant(now, asked_at, answer.tokens, answer.wait);
+            it->second.share = answer.share;
         }
     }
 }
@@ -101,53 +110,65 @@
     }
 }
 
-auto account_ledger::reduced(rate_limit limit) const -> rate_limit {
-    return {limit.rate * factor_, limit.burst};
-}
-
 auto account_ledger::set_limits(time_point now, const desired_state& rules) -> void {
-    std::erase_if(buckets_, [&](const auto& it) { return !rules.accounts.contains(it.first); });
-    limits_.clear();
+    std::erase_if(entries_, [&](const auto& it) { return !rules.accounts.contains(it.first); });
     for (const auto& [id, account] : rules.accounts) {
-        limits_[id] = account.limit;
-        const auto it = buckets_.find(id);
-        if (it == buckets_.end()) {
-            // A bucket that began to fill this long ago.
-            const auto since = account.limit.rate > 0 ? seconds{account.limit.burst * first_part / account.limit.rate}
-                                                      : seconds{0};
-            buckets_.emplace(
-                id, accountant{reduced(account.limit), now - std::chrono::duration_cast<duration>(since), true});
-        } else {
-            it->second.set_limit(now, reduced(account.limit));
+        const auto& limit = account.limit;
+        const auto it = entries_.find(id);
+        if (it != entries_.end()) {
+            it->second.limit = limit;
+            it->second.bucket.set_limit(now, {limit.rate * it->second.factor, limit.burst});
+            continue;
         }
+        // A bucket that began to fill this long ago.
+        const auto since = seconds{limit.rate > 0 ? limit.burst * first_part / limit.rate : 0};
+        entries_.emplace(id, entry{limit, accountant{limit, now - std::chrono::duration_cast<duration>(since), true},
+                                   1, {}});
     }
 }
 
-auto account_ledger::set_instances(time_point now, std::uint32_t registered, std::uint32_t heard) -> void {
-    const auto unheard = static_cast<double>(registered > heard ? registered - heard : 0);
-    const auto kept = std::max(0.0, unheard - covered_instances) * unheard_share / std::max(1U, registered);
-    const auto factor = std::max(least_factor, 1 - kept);
-    if (factor == factor_) {
-        return;
-    }
-    factor_ = factor;
-    for (auto& [id, it] : buckets_) {
-        it.set_limit(now, reduced(limits_[id]));
+auto account_ledger::present(const usage& it, time_point now) -> double {
+    return it.per_s * std::exp(-seconds{now - it.at} / usage_window);
+}
+
+auto account_ledger::set_heard(time_point now, const std::set<instance_id>& heard) -> void {
+    for (auto& [id, it] : entries_) {
+        auto all = 0.0;
+        auto unheard = 0.0;
+        for (const auto& [instance, used] : it.used) {
+            const auto n = present(used, now);
+            all += n;
+            unheard += heard.contains(instance) ? 0 : n;
+        }
+        const auto kept = all > 0 ? unheard / all * unheard_part - covered_part : 0;
+        const auto factor = std::clamp(1 - kept, least_factor, 1.0);
+        if (std::abs(factor - it.factor) > 0.01 || (factor == 1 && it.factor != 1)) {
+            it.factor = factor;
+            it.bucket.set_limit(now, {it.limit.rate * factor, it.limit.burst});
+        }
     }
 }
 
-auto account_ledger::take(time_point now, const token_question& asked) -> token_answer {
-    const auto it = buckets_.find(asked.account);
-    if (it == buckets_.end()) {
-        return {asked.account, 0, 100ms}; // rules that know the account have not arrived here yet
+auto account_ledger::take(time_point now, const instance_id& instance, const token_question& asked) -> token_answer {
+    const auto found = entries_.find(asked.account);
+    if (found == entries_.end()) {
+        return {asked.account, 0, 100ms, 0}; // rules that know the account have not arrived here yet
+    }
+    auto& it = found->second;
+    const auto tokens = it.bucket.take(now, asked.wanted);
+    auto& own = it.used[instance];
+    own = {present(own, now) + tokens / usage_window.count(), now};
+    const auto floor = it.limit.rate * idle_part / static_cast<double>(it.used.size());
+    auto all = 0.0;
+    for (const auto& [name, used] : it.used) {
+        all += present(used, now) + floor;
     }
-    const auto tokens = it->second.take(now, asked.wanted);
-    return {asked.account, tokens, tokens > 0 ? duration{} : it->second.wait_for_token(now)};
+    const auto share = all > 0 ? (own.per_s + floor) / all : 0;
+    return {asked.account, tokens, tokens > 0 ? duration{} : it.bucket.wait_for_token(now), share};
 }
 
 auto account_ledger::reset() -> void {
-    buckets_.clear();
-    limits_.clear();
+    entries_.clear();
 }
 
 } // namespace citronlug
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -140,11 +140,17 @@
 
     [[nodiscard]] auto wants_duty_record() const -> bool { return !duty_ || unsure_; }
 
-    auto leave() -> std::vector<coordinator_action> {
+    auto leave(time_point now) -> std::vector<coordinator_action> {
         auto given_up = std::vector<coordinator_action>{};
         if (duty_ && duty_->holder == self_ && duty_->run == run_ && !left_) {
             auto next = *duty_;
             next.holder = {};
+            for (const auto& [name, it] : reports_) {
+                if (name != self_ && now - it.first < report_life && !it.second.leaving) {
+                    next = {name, it.second.run, duty_->token + 1, 0, it.second.peer_address, duty_->peer_secret};
+                    break;
+                }
+            }
             given_up.emplace_back(write_record{duty_name, to_text(next), duty_revision_});
         }
         left_ = true;
@@ -183,7 +189,7 @@
         }
         duty_ = record;
         duty_revision_ = revision;
-        duty_seen_at_ = now;
+        duty_seen_at_ = observed_since(now);
         unsure_ = false;
         if (duty_write_ && record->holder == self_ && record->run == run_ &&
             record->renewals == duty_write_->renewals && record->token == duty_write_->token) {
@@ -331,12 +337,26 @@
         return it != reports_.end() && now - it->second.first < report_life;
     }
 
-    [[nodiscard]] auto heard(time_point now) const -> std::uint32_t {
-        return static_cast<std::uint32_t>(std::count_if(reports_.begin(), reports_.end(), [&](const auto& it) {
-            return now - it.second.first < report_life;
-        }));
+    [[nodiscard]] auto heard(time_point now) const -> std::set<instance_id> {
+        auto names = std::set<instance_id>{};
+        for (const auto& [name, it] : reports_) {
+            if (now - it.first < report_life) {
+                names.insert(name);
+            }
+        }
+        return names;
+    }
+
+    /// Since when the duty record is known to be as it is now: the holder may have stated it before it was read.
+    [[nodiscard]] auto observed_since(time_point now) const -> time_point {
+        const auto stated = duty_ && heard_token_ == duty_->token && heard_renewals_ == duty_->renewals;
+        return stated ? std::min(now, heard_at_) : now;
     }
 
+    std::uint64_t heard_token_ = 0;
+    std::uint64_t heard_renewals_ = 0;
+    time_point heard_at_; ///< of the last answer of the holder that stated these
+
 private:
     auto emit(log_event event, const std::string& group, std::string detail) -> void {
         events_({name_of(event), group, std::move(detail)});
@@ -766,7 +786,8 @@
         impl_->first_confirmed_at_ = now;
     }
     if (now - impl_->confirmed_at_ > confirmation_life) {
-        impl_->duty_seen_at_ = now; // whether it was renewed since the last reading is not known
+        // Whether it was renewed between the last reading and this one is not known.
+        impl_->duty_seen_at_ = impl_->observed_since(now);
     }
     impl_->confirmed_at_ = std::max(impl_->confirmed_at_, asked_at);
 }
@@ -820,8 +841,14 @@
     return impl_->tick(now);
 }
 
-auto primary_coordinator::leave(time_point /*now*/) -> std::vector<coordinator_action> {
-    return impl_->leave();
+auto primary_coordinator::on_holder_heard(time_point asked_at, std::uint64_t token, std::uint64_t renewals) -> void {
+    impl_->heard_token_ = token;
+    impl_->heard_renewals_ = renewals;
+    impl_->heard_at_ = asked_at;
+}
+
+auto primary_coordinator::leave(time_point now) -> std::vector<coordinator_action> {
+    return impl_->leave(now);
 }
 
 auto primary_coordinator::holds_duty(time_point now) const -> bool {
@@ -851,7 +878,7 @@
     return static_cast<std::uint32_t>(std::max<std::size_t>(1, impl_->registered_.size()));
 }
 
-auto primary_coordinator::heard(time_point now) const -> std::uint32_t {
+auto primary_coordinator::heard(time_point now) const -> std::set<instance_id> {
     return impl_->heard(now);
 }
 
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -11,6 +11,8 @@
 /// Longest wait of an operation for a token of its client account. An account above its rate is refused soon, so that
 /// its callers can slow down.
 constexpr auto token_wait = duration{100ms};
+/// The same without the coordinator, which is replaced in less time if it is only leaving.
+constexpr auto token_wait_alone = duration{250ms};
 /// Part of the statement timeout that a statement may wait for a connection; the rest is for running it, or for the
 /// caller to try another instance.
 constexpr auto queue_part = 0.6;
@@ -112,8 +114,8 @@
 }
 
 auto session_proxy::implementation::token_deadline(time_point now, const statement_work& work) const -> time_point {
-    // Without the coordinator nobody knows whether the account is over its rate, so its callers may wait longer.
-    return gate_.has_accountant(now) ? std::min(work.received + token_wait, work.give_up_queued) : work.give_up_queued;
+    const auto wait = gate_.has_accountant(now) ? token_wait : token_wait_alone;
+    return std::min(work.received + wait, work.give_up_queued);
 }
 
 auto session_proxy::implementation::enqueue(time_point now, statement_work& work) -> void {
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -83,6 +83,7 @@
                   if (!announced_ || duty.token > announced_->token) {
                       announced_ = duty;
                       report_now_ = true;
+                      read_duty_now_ = duty.holder == settings_.instance;
                   }
               }}}
     , rules_{record_kind::rules, store_mirror{rules_watch_alone}}
@@ -289,7 +290,7 @@
         set_watch_waits();
     }
     if (holds) {
-        ledger_.set_instances(now, static_cast<std::uint32_t>(instances_.size()), coordinator_.heard(now));
+        ledger_.set_heard(now, coordinator_.heard(now));
         announce_duty(now);
     }
     proxy_.on_tick(now);
@@ -384,10 +385,12 @@
 }
 
 auto session_daemon::read_duty(time_point now) -> void {
-    const auto due = reading_duty_ || now - duty_read_at_ < duty_interval;
-    if (due || leaving_ || (coordinator_answers_ && !coordinator_.wants_duty_record())) {
+    const auto paused = reading_duty_ || now - duty_read_at_ < duty_interval;
+    const auto wanted = !coordinator_answers_ || coordinator_.wants_duty_record();
+    if (leaving_ || !(read_duty_now_ || (wanted && !paused))) {
         return;
     }
+    read_duty_now_ = false;
     reading_duty_ = true;
     duty_read_at_ = now;
     metrics_.count("citronlug_store_calls_total", {{"kind", "duty"}, {"call", "list"}});
@@ -536,12 +539,15 @@
         const auto kind = write->name == duty_name ? record_kind::duty : record_kind::primaries;
         metrics_.count("citronlug_store_calls_total", {{"kind", std::string{name_of(kind)}}, {"call", "write"}});
         platform_.store.write(kind, {write->name, write->value, 0}, write->expected_revision,
-                              [this, now, name = write->name](const store_answer& answer) {
+                              [this, now, name = write->name, value = write->value](const store_answer& answer) {
                                   const auto outcome = answer.outcome == store_outcome::ok ? write_outcome::done
                                                        : answer.outcome == store_outcome::conflict
                                                            ? write_outcome::conflict
                                                            : write_outcome::unknown;
                                   coordinator_.on_written(clock_now(), name, now, outcome, answer.revision);
+                                  if (leaving_ && name == duty_name && outcome == write_outcome::done) {
+                                      announce_to_all(*parse_duty(value));
+                                  }
                               });
     } else if (std::holds_alternative<struct list_instances>(action)) {
         list_instances({}, std::make_shared<instance_addresses>());
@@ -568,7 +574,7 @@
 // Reports.
 
 auto session_daemon::make_report(time_point now, bool with_questions) -> instance_report {
-    auto report = instance_report{settings_.instance, run_, {}, {}};
+    auto report = instance_report{settings_.instance, run_, settings_.peer_address, leaving_, {}, {}};
     for (const auto& [id, record] : coordinator_.records()) {
         auto it = group_report{};
         it.group = id;
@@ -630,6 +636,7 @@
         proxy_.on_tokens(now);
         return;
     }
+    coordinator_.on_holder_heard(asked_at, answer->token, answer->renewals);
     proxy_.gate().on_answers(now, asked_at, answer->tokens);
     proxy_.set_instances(now, answer->instances);
     for (const auto& it : answer->groups) {
@@ -671,6 +678,14 @@
     }
 }
 
+auto session_daemon::announce_to_all(const duty_record& duty) -> void {
+    for (const auto& [name, address] : instances_) {
+        if (!address.empty()) {
+            fleet_.announce(address, duty);
+        }
+    }
+}
+
 auto session_daemon::catch_up_rules(time_point now, const std::string& address) -> void {
     rules_.mirror.list_again();
     pump_mirrors(now);
@@ -694,8 +709,10 @@
         return answer;
     }
     coordinator_.on_report(now, report);
-    instances_.try_emplace(report.instance);
+    instances_[report.instance] = report.peer_address;
     answer.holds_duty = true;
+    answer.token = coordinator_.duty()->token;
+    answer.renewals = coordinator_.duty()->renewals;
     answer.instances = static_cast<std::uint32_t>(instances_.size());
     answer.rules_version = in_force_ ? in_force_->version : 0;
     for (const auto& [id, record] : coordinator_.records()) {
@@ -709,7 +726,7 @@
         answer.groups.push_back(std::move(word));
     }
     for (const auto& it : report.questions) {
-        answer.tokens.push_back(ledger_.take(now, it));
+        answer.tokens.push_back(ledger_.take(now, report.instance, it));
     }
     return answer;
 }
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -80,6 +80,8 @@
     auto list_instances(const std::string& after, std::shared_ptr<instance_addresses> found) -> void;
     /// The coordinator tells registered instances that it does not hear where it is; they may not reach the store.
     auto announce_duty(time_point now) -> void;
+    /// The duty was handed over.
+    auto announce_to_all(const duty_record& duty) -> void;
     /// The newest duty record known from the store or an announcement.
     [[nodiscard]] auto newest_duty() const -> std::optional<duty_record>;
     /// The coordinator has newer rules than this instance.
@@ -121,6 +123,7 @@
     mirrored rules_;
     mirrored servers_;
     mirrored primaries_;
+    bool read_duty_now_ = false; ///< the duty was handed to this instance
     bool reading_duty_ = false;
     bool reading_primaries_ = false; ///< after the duty was taken
     time_point duty_read_at_;
