--- a/src/libcitronlug/account_gate.cpp
+++ b/src/libcitronlug/account_gate.cpp
@@ -106,6 +106,7 @@
 }
 
 auto account_gate::on_no_answer(time_point now, const std::vector<token_question>& asked) -> void {
+    answered_at_ = std::min(answered_at_, now - accountant_silence);
     for (const auto& question : asked) {
         const auto it = entries_.find(question.account);
         if (it != entries_.end()) {
--- /dev/null
+++ b/src/libcitronlug/account_gate_test.cpp
@@ -0,0 +1,152 @@
+#include <citronlug/account_gate.h>
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronlug;
+
+namespace {
+
+const auto account = account_id{"school"};
+/// Users measure a rate over this span, and permit this excess.
+constexpr auto window = duration{5s};
+constexpr auto permitted_part = 1.1;
+constexpr auto permitted_slack = 20.0;
+
+auto rules_of(rate_limit limit) -> desired_state {
+    auto it = desired_state{};
+    it.version = 1;
+    it.accounts[account] = {account, limit};
+    return it;
+}
+
+/// Instances that admit operations of one account, with an accountant that some of them reach.
+struct fleet {
+    fleet(std::size_t n, rate_limit limit)
+        : limit{limit}
+        , gates(n)
+        , reaches(n, true) {
+        ledger.set_limits(now, rules_of(limit));
+        for (auto& it : gates) {
+            it = std::make_unique<account_gate>();
+            it->set_limits(now, rules_of(limit));
+            it->set_instances(static_cast<std::uint32_t>(n));
+        }
+    }
+
+    /// One step of 10 ms in which each instance is asked for `demand` operations.
+    auto step(const std::vector<int>& demand) -> void {
+        auto heard = std::set<instance_id>{};
+        for (auto n = std::size_t{0}; n < gates.size(); ++n) {
+            if (reaches[n]) {
+                heard.insert(name(n));
+            }
+        }
+        ledger.set_heard(now, heard);
+        for (auto n = std::size_t{0}; n < gates.size(); ++n) {
+            for (auto i = 0; i < demand[n]; ++i) {
+                ++asked;
+                // An operation that needs an answer of the accountant is tried again after it.
+                for (auto attempt = 0; attempt < 2; ++attempt) {
+                    const auto outcome = gates[n]->admit(now, account, now);
+                    if (outcome == admission::admitted) {
+                        admitted.push_back(now);
+                        break;
+                    }
+                    ask(n);
+                }
+            }
+        }
+        now += 10ms;
+    }
+
+    auto ask(std::size_t n) -> void {
+        const auto questions = gates[n]->questions(now);
+        auto answers = std::vector<token_answer>{};
+        for (const auto& it : questions) {
+            answers.push_back(ledger.take(now, name(n), it));
+        }
+        if (reaches[n]) {
+            gates[n]->on_answers(now, now, answers);
+        } else {
+            gates[n]->on_no_answer(now, questions);
+        }
+    }
+
+    /// Most operations admitted in any window, as a part of what users permit.
+    [[nodiscard]] auto worst_window() const -> double {
+        auto most = std::size_t{0};
+        auto first = admitted.begin();
+        for (auto it = admitted.begin(); it != admitted.end(); ++it) {
+            first = std::find_if(first, it, [&](time_point at) { return *it - at < window; });
+            most = std::max(most, static_cast<std::size_t>(it - first) + 1);
+        }
+        const auto permitted = (limit.rate * 5 + limit.burst) * permitted_part + permitted_slack;
+        return static_cast<double>(most) / permitted;
+    }
+
+    static auto name(std::size_t n) -> instance_id { return instance_id{std::to_string(n)}; }
+
+    time_point now{1h};
+    rate_limit limit;
+    account_ledger ledger;
+    std::vector<std::unique_ptr<account_gate>> gates;
+    std::vector<bool> reaches;
+    std::vector<time_point> admitted;
+    std::size_t asked = 0;
+};
+
+} // namespace
+
+TEST_GROUP(account_gate){};
+
+// Guards against an account over its rate while instances lose and regain the accountant at random.
+TEST(account_gate, keeps_an_overloaded_account_within_its_limit_whatever_instances_reach) {
+    const auto holds = rc::check("limit over all instances", [] {
+        auto it = fleet{8, {40, 40}};
+        const auto cuts = *rc::gen::container<std::vector<int>>(12, rc::gen::inRange(0, 256));
+        for (const auto cut : cuts) {
+            for (auto n = 0U; n < 8; ++n) {
+                // At most three of eight at once are cut off.
+                it.reaches[n] = (cut >> n & 1) == 0 || n % 3 != 0;
+            }
+            for (auto i = 0; i < 100; ++i) {
+                it.step({2, 0, 1, 0, 3, 0, 1, 0});
+            }
+        }
+        RC_ASSERT(it.worst_window() <= 1.0);
+    });
+    CHECK_TRUE(holds);
+}
+
+// Guards against refusals of an account that stays within its rate but whose callers are spread unevenly.
+TEST(account_gate, admits_an_account_within_its_rate_however_its_callers_are_spread) {
+    auto it = fleet{8, {100, 100}};
+    for (auto i = 0; i < 1000; ++i) {
+        it.step({i % 2, 0, 0, i % 10 == 0 ? 1 : 0, 0, 0, 0, 0});
+    }
+    CHECK_EQUAL(it.asked, it.admitted.size());
+}
+
+// Guards against refusals while the accountant is replaced: each instance goes on with the share that it used.
+TEST(account_gate, goes_on_with_its_share_without_the_accountant) {
+    auto it = fleet{8, {100, 100}};
+    const auto demand = [](int i) { return std::vector<int>{i % 2, 0, 0, i % 10 == 0 ? 1 : 0, 0, 0, 0, 0}; };
+    for (auto i = 0; i < 1000; ++i) {
+        it.step(demand(i));
+    }
+    const auto asked = it.asked;
+    const auto admitted = it.admitted.size();
+    std::fill(it.reaches.begin(), it.reaches.end(), false);
+    for (auto i = 0; i < 400; ++i) {
+        it.step(demand(i));
+    }
+    const auto part = static_cast<double>(it.admitted.size() - admitted) / static_cast<double>(it.asked - asked);
+    CHECK_TRUE(part > 0.9);
+}
--- /dev/null
+++ b/src/libcitronlug/read_freshness_test.cpp
@@ -0,0 +1,91 @@
+#include <citronlug/read_freshness.h>
+
+#include <rapidcheck.h>
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace citronlug;
+
+namespace {
+
+auto route(consistency kind, duration max_age) -> session_route {
+    auto it = session_route{};
+    it.kind = kind;
+    it.max_age = max_age;
+    return it;
+}
+
+} // namespace
+
+TEST_GROUP(read_freshness) {
+    time_point now{1h};
+    position_samples samples;
+};
+
+// Guards against reads that miss a write acknowledged before the accepted age. Writes are acknowledged at random times; the
+// position that a read must find contains each of them that is older than its bound.
+TEST(read_freshness, contains_all_writes_older_than_the_bound) {
+    const auto holds = rc::check("position contains old writes", [] {
+        auto kept = position_samples{};
+        auto clock = time_point{1h};
+        auto log = log_position{1};
+        auto writes = std::vector<std::pair<time_point, log_position>>{};
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 400));
+        for (const auto step : steps) {
+            clock += std::chrono::milliseconds{step % 97};
+            if (step % 3 == 0) {
+                writes.emplace_back(clock, ++log);
+            } else {
+                const auto asked = clock;
+                clock += std::chrono::milliseconds{step % 13}; // more writes may be counted in than were asked for
+                kept.add(asked, {1, log});
+            }
+            const auto bound = std::chrono::milliseconds{step};
+            const auto need = kept.required(clock, bound);
+            for (const auto& [at, number] : writes) {
+                RC_ASSERT(!need || at >= clock - bound || need->log >= number);
+            }
+        }
+    });
+    CHECK_TRUE(holds);
+}
+
+// Guards against reads at a replica on a route that needs all writes.
+TEST(read_freshness, allows_no_replica_on_primary_routes) {
+    samples.add(now, {1, 5});
+    CHECK_FALSE(need_of_read(route(consistency::primary, 0ms), samples, std::nullopt, now).any_replica);
+    CHECK_FALSE(need_of_read(route(consistency::bounded_staleness, 0ms), samples, std::nullopt, now).any_replica);
+}
+
+// Guards against reads without evidence.
+TEST(read_freshness, allows_no_replica_without_evidence_of_the_accepted_age) {
+    const auto bounded = route(consistency::bounded_staleness, 1s);
+    CHECK_FALSE(need_of_read(bounded, samples, std::nullopt, now).any_replica);
+    samples.add(now - 2s, {1, 5});
+    CHECK_FALSE(need_of_read(bounded, samples, std::nullopt, now).any_replica);
+    samples.add(now - 500ms, {1, 6});
+    CHECK_EQUAL(6U, need_of_read(bounded, samples, std::nullopt, now).after->log);
+}
+
+// Guards against a session that does not see its own write, also after a change of primary.
+TEST(read_freshness, requires_the_sessions_own_write) {
+    const auto own = route(consistency::read_your_writes, 2s);
+    samples.add(now - 1s, {1, 5});
+    CHECK_EQUAL(9U, need_of_read(own, samples, position{1, 9}, now).after->log);
+    samples.clear();
+    samples.add(now - 100ms, {2, 7});
+    const auto need = need_of_read(own, samples, position{1, 9}, now);
+    CHECK_EQUAL(2U, need.after->term);
+    CHECK_EQUAL(7U, need.after->log);
+}
+
+// Guards against evidence that is dropped while the group has no primary: nothing newer can be acknowledged then.
+TEST(read_freshness, keeps_a_sealed_position_of_any_age) {
+    samples.add(now - 10s, {1, 5});
+    samples.seal({1, 8});
+    CHECK_EQUAL(8U, samples.required(now, 1s)->log);
+    samples.clear();
+    CHECK_FALSE(samples.required(now, 1s).has_value());
+}
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -419,7 +419,8 @@
          {"at_server_ms", std::to_string(work.sent_at == time_point{} ? 0 : (now - work.sent_at) / 1ms)},
          {"primary", group.primary.primary.value},
          {"generation", std::to_string(group.primary.generation)},
-         {"permit_left_ms", std::to_string((group.primary.permitted_until - now) / 1ms)},
+         {"permit_left_ms",
+          std::to_string(std::max<std::int64_t>(0, (group.primary.permitted_until - now) / 1ms))},
          {"position_age_ms", sample ? std::to_string((now - *sample) / 1ms) : std::string{"none"}},
          {"rules", std::to_string(rules_->version)}});
 }
