--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -437,6 +437,9 @@
          {"accounts", std::to_string(rules_->accounts.size())}});
     gate_.set_limits(now, *rules_);
     set_budgets();
+    for (const auto& [caller, it] : std::exchange(waiting_starts_, {})) {
+        on_start(now, caller, it.database, it.key);
+    }
     // Queued work of routes and keys that are gone is refused now; it has not run.
     auto gone = std::vector<std::uint64_t>{};
     for (const auto& [id, work] : works_) {
@@ -524,7 +527,9 @@
 }
 
 auto session_proxy::implementation::probe_primaries(time_point now) -> void {
-    for (auto& [id, group] : groups_) {
+    for (auto& entry : groups_) {
+        const auto& id = entry.first;
+        auto& group = entry.second;
         const auto newest = group.samples.newest_at();
         const auto known_at = std::max(newest.value_or(time_point{}), group.probed_at);
         if (!may_use_primary(now, group) || now - known_at < position_interval) {
--- a/src/libcitronlug/session_proxy.cpp
+++ b/src/libcitronlug/session_proxy.cpp
@@ -10,6 +10,9 @@
 
 /// A session that stays idle this long while the instance leaves is closed.
 constexpr auto leaving_idle = duration{300ms};
+/// A caller waits this long for an instance that has just started to read the rules; callers give up after 2
+/// s.
+constexpr auto start_wait = duration{1700ms};
 
 auto own_answer(transaction_state state) -> session_answer {
     auto it = session_answer{};
@@ -28,6 +31,11 @@
 
 auto session_proxy::implementation::on_start(time_point now, caller_id caller, const std::string& database,
                                              const std::string& key) -> void {
+    if (rules_->version == 0) {
+        // Without rules this instance cannot know that there is no such route.
+        waiting_starts_[caller] = {database, key, now};
+        return;
+    }
     const auto route = rules_->route_of(database);
     if (!route) {
         log(log_level::info, log_event::session_rejected, {{"why", "no route"}, {"database", database}});
@@ -53,6 +61,7 @@
 }
 
 auto session_proxy::implementation::on_caller_closed(time_point now, caller_id caller) -> void {
+    waiting_starts_.erase(caller);
     const auto it = sessions_.find(caller);
     if (it == sessions_.end()) {
         return;
@@ -326,6 +335,21 @@
     }
 }
 
+auto session_proxy::implementation::refuse_waiting_starts(time_point now) -> void {
+    auto late = std::vector<caller_id>{};
+    for (const auto& [caller, it] : waiting_starts_) {
+        if (now - it.since >= start_wait) {
+            late.push_back(caller);
+        }
+    }
+    for (const auto caller : late) {
+        waiting_starts_.erase(caller);
+        log(log_level::info, log_event::session_rejected, {{"why", "no rules yet"}});
+        effects_.reject_caller(caller,
+                               {session_error::busy, "the instance has no rules yet; retry in 500 ms"});
+    }
+}
+
 auto session_proxy::implementation::close_sessions(time_point now) -> void {
     auto idle = std::vector<caller_id>{};
     for (auto& [id, session] : sessions_) {
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -43,6 +43,13 @@
     time_point idle_since;
 };
 
+/// A caller that came before this instance had any rules.
+struct waiting_start {
+    std::string database;
+    std::string key;
+    time_point since;
+};
+
 /// How far a statement has come.
 enum class work_stage {
     admission, ///< waits for a token of its client account
@@ -172,6 +179,7 @@
     auto on_tick(time_point now) -> void;
     auto probe_primaries(time_point now) -> void;
     auto close_sessions(time_point now) -> void;
+    auto refuse_waiting_starts(time_point now) -> void;
     auto begin_leaving(time_point now, duration transaction_time) -> void;
 
     [[nodiscard]] auto group_of(const group_id& id) -> group_state& { return groups_[id]; }
@@ -186,6 +194,7 @@
     account_gate gate_;
     std::shared_ptr<const desired_state> rules_;
     std::map<group_id, group_state> groups_;
+    std::map<caller_id, waiting_start> waiting_starts_;
     std::unordered_map<caller_id, caller_session> sessions_;
     std::unordered_map<std::uint64_t, statement_work> works_;
     std::map<connection_id, std::uint64_t> work_of_connection_;
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -198,6 +198,23 @@
     CHECK(effects.rejected.at(1).code == session_error::no_database);
 }
 
+// Guards against "no such database" from an instance that has not read the rules yet: it cannot know.
+TEST(session_start, waits_for_the_first_rules) {
+    auto fresh = session_proxy{failure_domain{"a"}, effects, counters};
+    fresh.on_start(now, 1, "place", "k1");
+    fresh.on_start(now, 2, "nothing", "k1");
+    CHECK_EQUAL(0U, effects.accepted.size() + effects.rejected.size());
+    fresh.set_rules(now, make_rules(1));
+    CHECK_EQUAL(1U, effects.accepted.size());
+    CHECK(effects.rejected.at(0).code == session_error::no_database);
+
+    auto without = session_proxy{failure_domain{"a"}, effects, counters};
+    without.on_start(now, 3, "place", "k1");
+    now += 1800ms;
+    without.on_tick(now);
+    CHECK(effects.rejected.back().code == session_error::busy);
+}
+
 // Guards against work for a key that was withdrawn while its session was open.
 TEST(session_start, refuses_the_next_statement_after_the_key_was_withdrawn) {
     start(1, "place");
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -483,6 +483,7 @@
     }
     probe_primaries(now);
     close_sessions(now);
+    refuse_waiting_starts(now);
 }
 
 } // namespace citronlug
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -74,7 +74,7 @@
     const auto watch = mirror.next(now);
     mirror.list_again();
     const auto list = mirror.next(now);
-    mirror.on_answer(now, list->number, answer_of({{"a", "3", 20}}, 21)).empty();
+    static_cast<void>(mirror.on_answer(now, list->number, answer_of({{"a", "3", 20}}, 21)));
     CHECK_TRUE(mirror.on_answer(now, watch->number, answer_of({{"a", "2", 12}}, 13)).empty());
     CHECK_EQUAL(std::string{"3"}, mirror.records().at("a").value);
 }
@@ -84,7 +84,7 @@
     const auto watch = mirror.next(now);
     const auto asked = now;
     now += 2s;
-    mirror.on_answer(now, watch->number, answer_of({}, 11)).empty();
+    static_cast<void>(mirror.on_answer(now, watch->number, answer_of({}, 11)));
     CHECK(asked == mirror.confirmed_at());
 }
 
@@ -93,7 +93,7 @@
     for (auto n = 0; n < 5; ++n) {
         const auto call = mirror.next(now);
         CHECK_TRUE(call.has_value());
-        mirror.on_answer(now, call->number, failed(store_outcome::refused)).empty();
+        static_cast<void>(mirror.on_answer(now, call->number, failed(store_outcome::refused)));
         CHECK_FALSE(mirror.next(now).has_value());
         now += 600ms;
     }
