--- a/src/include/citronlug/account_gate.h
+++ b/src/include/citronlug/account_gate.h
@@ -13,8 +13,8 @@
 /// Part of its share of a rate that an instance uses while it cannot reach the accountant. The accountant
 /// keeps the same part free for instances that it does not hear.
 inline constexpr double unheard_part = 0.9;
-/// An instance without an answer of the accountant for this time, or with a question that failed, goes over to its part of
-/// the rate.
+/// An instance without an answer of the accountant for this time, or with a question that failed, goes over
+/// to its part of the rate.
 inline constexpr duration accountant_silence = 700ms;
 
 /// Question to the accountant for tokens of one account, and its answer.
--- a/src/libcitronlug/account_gate_test.cpp
+++ b/src/libcitronlug/account_gate_test.cpp
@@ -134,10 +134,13 @@
     CHECK_EQUAL(it.asked, it.admitted.size());
 }
 
-// Guards against refusals while the accountant is replaced: each instance goes on with the share that it used.
+// Guards against refusals while the accountant is replaced: each instance goes on with the share that it
+// used.
 TEST(account_gate, goes_on_with_its_share_without_the_accountant) {
     auto it = fleet{8, {100, 100}};
-    const auto demand = [](int i) { return std::vector<int>{i % 2, 0, 0, i % 10 == 0 ? 1 : 0, 0, 0, 0, 0}; };
+    const auto demand = [](int i) {
+        return std::vector<int>{i % 2, 0, 0, i % 10 == 0 ? 1 : 0, 0, 0, 0, 0};
+    };
     for (auto i = 0; i < 1000; ++i) {
         it.step(demand(i));
     }
@@ -147,6 +150,7 @@
     for (auto i = 0; i < 400; ++i) {
         it.step(demand(i));
     }
-    const auto part = static_cast<double>(it.admitted.size() - admitted) / static_cast<double>(it.asked - asked);
+    const auto part =
+        static_cast<double>(it.admitted.size() - admitted) / static_cast<double>(it.asked - asked);
     CHECK_TRUE(part > 0.9);
 }
--- a/src/libcitronlug/read_freshness_test.cpp
+++ b/src/libcitronlug/read_freshness_test.cpp
@@ -24,8 +24,8 @@
     position_samples samples;
 };
 
-// Guards against reads that miss a write acknowledged before the accepted age. Writes are acknowledged at random times; the
-// position that a read must find contains each of them that is older than its bound.
+// Guards against reads that miss a write acknowledged before the accepted age. Writes are acknowledged at
+// random times; the position that a read must find contains each of them that is older than its bound.
 TEST(read_freshness, contains_all_writes_older_than_the_bound) {
     const auto holds = rc::check("position contains old writes", [] {
         auto kept = position_samples{};
@@ -39,7 +39,8 @@
                 writes.emplace_back(clock, ++log);
             } else {
                 const auto asked = clock;
-                clock += std::chrono::milliseconds{step % 13}; // more writes may be counted in than were asked for
+                clock +=
+                    std::chrono::milliseconds{step % 13}; // more writes may be counted in than were asked for
                 kept.add(asked, {1, log});
             }
             const auto bound = std::chrono::milliseconds{step};
@@ -56,7 +57,8 @@
 TEST(read_freshness, allows_no_replica_on_primary_routes) {
     samples.add(now, {1, 5});
     CHECK_FALSE(need_of_read(route(consistency::primary, 0ms), samples, std::nullopt, now).any_replica);
-    CHECK_FALSE(need_of_read(route(consistency::bounded_staleness, 0ms), samples, std::nullopt, now).any_replica);
+    CHECK_FALSE(
+        need_of_read(route(consistency::bounded_staleness, 0ms), samples, std::nullopt, now).any_replica);
 }
 
 // Guards against reads without evidence.
@@ -81,7 +83,8 @@
     CHECK_EQUAL(7U, need.after->log);
 }
 
-// Guards against evidence that is dropped while the group has no primary: nothing newer can be acknowledged then.
+// Guards against evidence that is dropped while the group has no primary: nothing newer can be acknowledged
+// then.
 TEST(read_freshness, keeps_a_sealed_position_of_any_age) {
     samples.add(now - 10s, {1, 5});
     samples.seal({1, 8});
