Let idle connections expire where a server accepts fewer than there are instances

Each instance kept one connection open for good, so servers were full: 18,801 connections turned away, 27,075 opened for 40,517 statements.

Change: a share below one connection is one that stays idle for that part of a second. There an idle connection of another account makes room before another one is opened, and after a server had no room idle connections are given up at once.

--- a/src/include/citronlug/server_pool.h
+++ b/src/include/citronlug/server_pool.h
@@ -16,9 +16,12 @@
 struct connection_budget {
     std::uint32_t share = 1; ///< connections that are always this instance's to use
     std::uint32_t most = 1;  ///< above its share it opens more, up to this number, until a server has no room
+    /// An idle connection is closed after this time even within the share; nothing: it stays open.
+    std::optional<duration> idle_life;
 };
 
-/// Share of one server's connections among `instances`, with some left for probes and new instances.
+/// Share of one server's connections among `instances`, with some left for probes and new instances. With fewer
+/// connections than instances each instance has one for a part of the time only.
 [[nodiscard]] auto budget_of(std::uint32_t server_connections, std::uint32_t instances) -> connection_budget;
 
 enum class connection_phase {
@@ -88,6 +91,7 @@
         connection_id connection = 0; ///< the owner must open it; 0: all connections are in use
         connection_id evicted = 0;    ///< idle connection of another account that the owner must close first
     };
+    /// Where connections are scarce, an idle one of another account makes room although the limit is not reached.
     [[nodiscard]] auto open(const backend_server& server, const account_id& account, time_point now)
         -> opening;
     /// An idle connection of any account, marked busy.
@@ -103,7 +107,8 @@
     auto on_lagging(const server_id& id, time_point now) -> void;
     auto on_no_room(const server_id& id, time_point now) -> void;
 
-    /// Idle connections above the share, or to servers that are leaving, that should be closed now.
+    /// Idle connections above the share, past their idle life, or to servers that are leaving, that should be
+    /// closed now.
     [[nodiscard]] auto surplus(time_point now) -> std::vector<connection_id>;
     [[nodiscard]] auto connections() const -> const std::map<connection_id, server_connection>& {
         return connections_;
--- a/src/libcitronlug/server_pool.cpp
+++ b/src/libcitronlug/server_pool.cpp
@@ -32,7 +32,8 @@
 /// An idle connection makes room for another client account's only after this time. A connection that has
 /// just been opened would otherwise be closed for the next statement in the queue before its own can use it.
 constexpr auto evicted_idle = duration{10ms};
-/// Idle connections above the share are closed after this time.
+/// Idle connections above the share are closed after this time. A share of less than one connection is one that is
+/// kept idle for that part of this time.
 constexpr auto surplus_idle = duration{1s};
 
 } // namespace
@@ -40,8 +41,13 @@
 auto budget_of(std::uint32_t server_connections, std::uint32_t instances) -> connection_budget {
     const auto usable =
         server_connections > reserved_connections ? server_connections - reserved_connections : 1U;
-    const auto share = std::max(1U, static_cast<std::uint32_t>(usable * kept_part) / std::max(1U, instances));
-    return {share, std::max(share, std::min(usable, share * most_shares))};
+    const auto part = usable * kept_part / std::max(1U, instances);
+    const auto share = std::max(1U, static_cast<std::uint32_t>(part));
+    auto budget = connection_budget{share, std::max(share, std::min(usable, share * most_shares)), {}};
+    if (part < 1) {
+        budget.idle_life = std::chrono::duration_cast<duration>(surplus_idle * part);
+    }
+    return budget;
 }
 
 server_pool::server_pool(failure_domain own_domain)
@@ -121,7 +127,8 @@
 auto server_pool::limit_of(const backend_server& server, time_point now) -> std::uint32_t {
     const auto it = budgets_.find(server.group);
     const auto budget = it == budgets_.end() ? connection_budget{} : it->second;
-    return health(server.id).room_at <= now ? budget.most : budget.share;
+    // Without a whole connection for each instance, room comes and goes with the others' idle connections.
+    return budget.idle_life || health(server.id).room_at <= now ? budget.most : budget.share;
 }
 
 auto server_pool::estimate(const backend_server& server, const account_id& account, time_point now)
@@ -177,7 +184,10 @@
     if (health(server.id).open_at > now) {
         return result;
     }
-    if (usage_of(server.id).total() >= limit_of(server, now)) {
+    const auto budget = budgets_.find(server.group);
+    const auto is_scarce = budget != budgets_.end() && budget->second.idle_life;
+    const auto is_full = usage_of(server.id).total() >= limit_of(server, now);
+    if (is_full || is_scarce) {
         auto* oldest = static_cast<server_connection*>(nullptr);
         for (auto& [id, it] : connections_) {
             if (it.server.id == server.id && it.phase == connection_phase::idle &&
@@ -185,11 +195,13 @@
                 oldest = &it;
             }
         }
-        if (oldest == nullptr) {
+        if (oldest == nullptr && is_full) {
             return result;
         }
-        result.evicted = oldest->id;
-        connections_.erase(result.evicted);
+        if (oldest != nullptr) {
+            result.evicted = oldest->id;
+            connections_.erase(result.evicted);
+        }
     }
     const auto id = next_connection_++;
     auto& added = connections_[id];
@@ -273,8 +285,11 @@
         const auto leaving = known == nullptr || known->state == server_state::draining ||
                              known->started_ms != it.server.started_ms;
         const auto budget = budgets_.find(it.server.group);
-        const auto share = budget == budgets_.end() ? 1U : budget->second.share;
-        if (leaving || (totals[it.server.id] > share && now - it.used_at >= surplus_idle)) {
+        const auto& [share, most, idle_life] = budget == budgets_.end() ? connection_budget{} : budget->second;
+        const auto idle = now - it.used_at;
+        const auto is_short = health(it.server.id).room_at > now;
+        if (leaving || (totals[it.server.id] > share && idle >= surplus_idle) ||
+            (idle_life && idle >= (is_short ? evicted_idle : *idle_life))) {
             found.push_back(id);
             --totals[it.server.id];
         }
--- a/src/libcitronlug/session_proxy.cpp
+++ b/src/libcitronlug/session_proxy.cpp
@@ -457,6 +457,10 @@
     return impl_->sessions_.size();
 }
 
+auto session_proxy::can_serve(time_point now) const -> bool {
+    return impl_->can_serve(now);
+}
+
 auto session_proxy::has_released(const group_id& group, std::uint64_t generation) const -> bool {
     return std::none_of(impl_->works_.begin(), impl_->works_.end(), [&](const auto& it) {
         const auto& work = it.second;
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -99,6 +99,7 @@
     session_proxy::primary_experience experience;
     std::map<int, std::unique_ptr<queue_policy>> queues; ///< by priority of the route
     time_point permit_missing_since;                     ///< zero while there is a permission
+    bool was_permitted = false;
     time_point changing_since;
     time_point probed_at;
 };
@@ -142,6 +143,12 @@
     auto candidates_of(time_point now, const statement_work& work) -> std::vector<const backend_server*>;
     auto need_of(const statement_work& work) -> read_need;
     auto may_use_primary(time_point now, const group_state& group) const -> bool;
+    /// This instance lost its permission, and not for a change of primary: other instances probably have theirs.
+    auto is_cut_off(time_point now, const group_state& group) const -> bool;
+    /// Nothing that this instance waits for can serve the work.
+    auto is_unservable(time_point now, const statement_work& work) -> bool;
+    auto refuse_unservable(time_point now, statement_work& work) -> void;
+    auto can_serve(time_point now) const -> bool;
     auto prepare(time_point now, statement_work& work) -> void;
     auto send(time_point now, statement_work& work) -> void;
     auto sends_begin(const statement_work& work) -> bool;
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -318,6 +318,68 @@
     CHECK_EQUAL(std::string{"busy"}, last_code(1));
 }
 
+// Scenario: the permission runs out while no change of primary is under way: this instance has lost the store and the
+// coordinator.
+TEST_GROUP_BASE(session_cut_off, session_proxy_base) {
+    auto lose_permission()->void {
+        proxy.on_tick(now);
+        now += 2100ms;
+        proxy.on_tick(now);
+    }
+};
+
+// Guards against callers that are held here although other instances can serve them.
+TEST(session_cut_off, refuses_at_once_what_needs_the_primary) {
+    start(1, "place");
+    start(2, "place");
+    lose_permission();
+    proxy.on_statement(now, 1, query(session_verb::write, "q1", "WRITE a b"));
+    CHECK_EQUAL(0U, effects.answers[1].size()); // the permission may come back at any moment
+    now += 350ms;
+    proxy.on_tick(now);
+    CHECK_EQUAL(std::string{"busy"}, last_code(1));
+    proxy.on_statement(now, 2, query(session_verb::write, "q2", "WRITE a b"));
+    CHECK_EQUAL(std::string{"busy"}, last_code(2));
+    CHECK_EQUAL(0U, effects.requests.size());
+}
+
+// Guards against refusals of reads that a replica can serve with the evidence that is left.
+TEST(session_cut_off, goes_on_with_reads_while_there_is_evidence) {
+    start(1, "approve");
+    lose_permission();
+    now += 350ms;
+    proxy.add_position(now, group, now - 1s, {3, 110});
+    proxy.on_statement(now, 1, query(session_verb::read, "q1", "READ a"));
+    open_all();
+    CHECK(effects.opened.at(next_request().connection) == replica);
+}
+
+// Guards against an instance that takes callers although it can serve none, and against one that stays away after it
+// can.
+TEST(session_cut_off, takes_no_callers_until_the_permission_is_back) {
+    start(1, "place");
+    lose_permission();
+    CHECK_TRUE(proxy.can_serve(now));
+    now += 1100ms;
+    proxy.on_tick(now);
+    CHECK_FALSE(proxy.can_serve(now));
+    proxy.on_statement(now, 1, query(session_verb::write, "q1", "WRITE a b"));
+    CHECK_EQUAL(1U, effects.closed.size());
+    proxy.set_primary(now, view(1, primary));
+    proxy.on_tick(now);
+    CHECK_TRUE(proxy.can_serve(now));
+}
+
+// Guards against an instance that is taken away during a change of primary, which meets all instances alike.
+TEST(session_cut_off, is_not_a_change_of_primary) {
+    proxy.on_tick(now);
+    proxy.set_primary(now, view(2, primary, true));
+    proxy.on_tick(now);
+    now += 5s;
+    proxy.on_tick(now);
+    CHECK_TRUE(proxy.can_serve(now));
+}
+
 TEST_GROUP_BASE(session_transactions, session_proxy_base){};
 
 // Guards against statements of one transaction on several connections, and against work that is begun for
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -37,6 +37,12 @@
 /// A write under way when its primary is being replaced may still be acknowledged for this time; then the
 /// permission is given back and the outcome of the write is in doubt.
 constexpr auto release_grace = duration{300ms};
+/// An instance without a permission for this time, while no change of primary is under way, has lost the store and
+/// the coordinator. Waiting for longer serves nobody: callers reach other instances sooner.
+constexpr auto cut_off_after = duration{300ms};
+/// An instance that is cut off from all primaries for this time takes no callers. Shorter losses end before the load
+/// balancer could notice.
+constexpr auto not_ready_after = duration{1s};
 /// Expected service time of a statement before one was measured.
 constexpr auto usual_service = duration{30ms};
 
@@ -123,8 +129,12 @@
 }
 
 auto session_proxy::implementation::enqueue(time_point now, statement_work& work) -> void {
-    work.stage = work_stage::queued;
     work.connection = 0;
+    if (is_unservable(now, work)) {
+        refuse_unservable(now, work);
+        return;
+    }
+    work.stage = work_stage::queued;
     const auto group = work.route->group;
     auto& queue = group_of(group).queues[work.route->priority];
     if (!queue) {
@@ -168,6 +178,30 @@
     return !group.primary.primary.empty() && !group.primary.changing && now < group.primary.permitted_until;
 }
 
+auto session_proxy::implementation::is_cut_off(time_point now, const group_state& group) const -> bool {
+    return group.was_permitted && group.permit_missing_since != time_point{} && !group.primary.changing &&
+           now - group.permit_missing_since > cut_off_after;
+}
+
+auto session_proxy::implementation::is_unservable(time_point now, const statement_work& work) -> bool {
+    return is_cut_off(now, group_of(work.route->group)) && (work.needs_primary || !need_of(work).any_replica);
+}
+
+auto session_proxy::implementation::refuse_unservable(time_point now, statement_work& work) -> void {
+    const auto session = sessions_.find(work.caller);
+    if (session != sessions_.end() && !can_serve(now)) {
+        // The load balancer sends the caller elsewhere when it connects again.
+        session->second.closing = true;
+    }
+    finish_with(now, work, session_error::busy, "this instance is cut off; retry at once at another one");
+}
+
+auto session_proxy::implementation::can_serve(time_point now) const -> bool {
+    return groups_.empty() || std::any_of(groups_.begin(), groups_.end(), [&](const auto& it) {
+        return !is_cut_off(now, it.second) || now - it.second.permit_missing_since < not_ready_after;
+    });
+}
+
 auto session_proxy::implementation::need_of(const statement_work& work) -> read_need {
     auto own = std::optional<position>{};
     const auto session = sessions_.find(work.caller);
@@ -390,7 +424,9 @@
         }
         return;
     case work_stage::queued:
-        if (now >= work.give_up_queued) {
+        if (is_unservable(now, work)) {
+            refuse_unservable(now, work);
+        } else if (now >= work.give_up_queued) {
             const auto permitted = may_use_primary(now, group_of(work.route->group));
             const auto* why = permitted ? "no connection is free; retry in 300 ms"
                               : work.needs_primary
@@ -471,6 +507,7 @@
     }
     for (auto& [id, group] : groups_) {
         const auto permitted = may_use_primary(now, group);
+        group.was_permitted = group.was_permitted || permitted;
         if (permitted != (group.permit_missing_since == time_point{})) {
             group.permit_missing_since = permitted ? time_point{} : now;
             log(log_level::info, permitted ? log_event::permit_regained : log_event::permit_lost,
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -121,7 +121,7 @@
 }
 
 auto session_daemon::is_ready() const -> bool {
-    return !leaving_ && in_force_ && servers_listed_;
+    return !leaving_ && in_force_ && servers_listed_ && proxy_.can_serve(clock_now());
 }
 
 auto session_daemon::reload(const session_settings& settings) -> void {
