--- a/src/citronlug/command_line.cpp
+++ b/src/citronlug/command_line.cpp
@@ -23,6 +23,8 @@
   key list [--account ACCOUNT]     all keys, without their secrets
   status | versions                state of the instance; versions in force at all instances
   timeline [--database D] [--account A] [--request R] [--limit N]
+  explain REQUEST FILE...          lines in the logs of session instances that explain how a request ended;
+                                   needs no server
   metrics                          counters and latencies as text
 
 Exit codes: 0 done, 1 refused, failed or unknown, 2 usage, 3 lost a race, 4 not in force in time.
--- a/src/citronlug/command_line_test.cpp
+++ b/src/citronlug/command_line_test.cpp
@@ -103,6 +103,23 @@
     CHECK(server.calls.empty());
 }
 
+// Guards against an account that needs a server, and against an empty one that looks like success.
+TEST(command_line_tool, explains_a_request_from_logs) {
+    const auto log = file + ".log";
+    std::ofstream{log}
+        << "2026-12-04T08:38:47.100000Z info node-1 permit-lost group=\"g1\" primary=\"g1-1\"\n"
+        << "not a line\n"
+        << "2026-12-04T08:38:48.100000Z info node-1 request-refused request=\"9-3\" primary=\"g1-1\"\n";
+    CHECK_EQUAL(0, run({"explain", "9-3", log.c_str()}));
+    CHECK(printed("permit-lost") && printed("request-refused"));
+    CHECK_EQUAL(1, run({"explain", "9-4", log.c_str()}));
+    CHECK(warned("no line names request 9-4"));
+    CHECK_EQUAL(1, run({"explain", "9-3", "no-such-file.log"}));
+    CHECK_EQUAL(2, run({"explain", "9-3"}));
+    std::remove(log.c_str());
+}
+
+// Guards against arguments that are guessed.
 TEST(command_line_tool, refuses_wrong_arguments) {
     for (const auto& it : std::vector<std::vector<const char*>>{
              {},
--- a/src/citronlug/commands.cpp
+++ b/src/citronlug/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include <citronlug/log_reader.h>
 #include <citronlug/types.h>
 
 #include <QJsonArray>
@@ -10,6 +11,8 @@
 #include <fmt/format.h>
 #include <fmt/ostream.h>
 
+#include <fstream>
+
 namespace citronlug {
 
 namespace {
@@ -202,6 +205,31 @@
     });
 }
 
+auto run_explain(const command_line& line, command_context& context) -> exit_code {
+    auto lines = std::vector<log_line>{};
+    for (auto n = std::size_t{2}; n < line.words.size(); ++n) {
+        auto in = std::ifstream{line.words[n]};
+        if (!in) {
+            fmt::print(context.err, "cannot read {}\n", line.words[n]);
+            return exit_code::failed;
+        }
+        for (auto text = std::string{}; std::getline(in, text);) {
+            if (auto it = read_log_line(text)) {
+                lines.push_back(std::move(*it));
+            }
+        }
+    }
+    const auto found = explain_request(lines, line.words[1]);
+    for (const auto& it : found) {
+        fmt::print(context.out, "{}\n", it.text);
+    }
+    if (found.empty()) {
+        fmt::print(context.err, "no line names request {}; of served requests only some have a line\n",
+                   line.words[1]);
+    }
+    return found.empty() ? exit_code::failed : exit_code::done;
+}
+
 /// Names of instances where `version` is not known to be in force, with what is known.
 auto lagging(const QJsonObject& versions, qint64 version) -> std::vector<std::string> {
     auto names = std::vector<std::string>{};
@@ -318,6 +346,9 @@
     if (line.words.size() == 1 && word == "timeline") {
         return run_timeline(line, context);
     }
+    if (line.words.size() > 2 && word == "explain") {
+        return run_explain(line, context);
+    }
     if (line.words.size() == 1 && word == "versions") {
         return ask(line, context, "/versions", [&](const QJsonObject& body) {
             for (const auto& value : body.value("instances").toArray()) {
@@ -335,7 +366,8 @@
         context.out << outcome.body.toStdString();
         return exit_code::done;
     }
-    return report_usage(context, "rules|key|status|versions|timeline|metrics ... (see citronlug --help)");
+    return report_usage(context,
+                        "rules|key|status|versions|timeline|explain|metrics ... (see citronlug --help)");
 }
 
 } // namespace citronlug
--- /dev/null
+++ b/src/libcitronlug/log_reader.cpp
@@ -0,0 +1,149 @@
+#include <citronlug/log_events.h>
+#include <citronlug/log_reader.h>
+
+#include <QDateTime>
+
+#include <algorithm>
+#include <set>
+
+namespace citronlug {
+
+namespace {
+
+/// State that was lost up to this long before a request can be its cause: a change of primary, or the next
+/// coordinator, takes up to four seconds.
+constexpr auto before_us = std::int64_t{5'000'000};
+/// Clocks of instances differ by up to this time.
+constexpr auto after_us = std::int64_t{500'000};
+
+auto next_word(std::string_view& rest) -> std::string {
+    const auto end = std::min(rest.find(' '), rest.size());
+    const auto word = std::string{rest.substr(0, end)};
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    return word;
+}
+
+/// Reads `name="value"` and the blank behind it; false if there is none.
+auto next_field(std::string_view& rest, std::map<std::string, std::string>& fields) -> bool {
+    const auto equals = rest.find("=\"");
+    if (equals == std::string_view::npos) {
+        return false;
+    }
+    auto& value = fields[std::string{rest.substr(0, equals)}];
+    rest.remove_prefix(equals + 2);
+    while (!rest.empty() && rest.front() != '"') {
+        if (rest.front() == '\\' && rest.size() > 1) {
+            rest.remove_prefix(1);
+        }
+        value += rest.front();
+        rest.remove_prefix(1);
+    }
+    rest.remove_prefix(std::min<std::size_t>(2, rest.size()));
+    return true;
+}
+
+auto field(const log_line& line, const std::string& name) -> std::string {
+    const auto it = line.fields.find(name);
+    return it == line.fields.end() ? std::string{} : it->second;
+}
+
+/// What decides how an instance treats all requests.
+auto is_state_of_instance(log_event event) -> bool {
+    switch (event) {
+    case log_event::process_started:
+    case log_event::process_stopping:
+    case log_event::process_stopped:
+    case log_event::settings_reloaded:
+    case log_event::dependency_lost:
+    case log_event::dependency_regained:
+    case log_event::rules_applied:
+    case log_event::lines_dropped:
+        return true;
+    default:
+        return false;
+    }
+}
+
+auto is_step_of_change(log_event event) -> bool {
+    switch (event) {
+    case log_event::change_started:
+    case log_event::change_released:
+    case log_event::change_ordered:
+    case log_event::change_finished:
+    case log_event::change_abandoned:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+auto read_log_line(const std::string& text) -> std::optional<log_line> {
+    auto rest = std::string_view{text};
+    auto line = log_line{};
+    const auto time = QString::fromStdString(next_word(rest));
+    const auto wall = QDateTime::fromString(time, Qt::ISODateWithMs);
+    const auto level = next_word(rest);
+    line.instance.value = next_word(rest);
+    line.event = next_word(rest);
+    if (!wall.isValid() || line.event.empty()) {
+        return std::nullopt;
+    }
+    // QDateTime keeps milliseconds; the last three digits before the Z are the microseconds.
+    line.wall_us = wall.toMSecsSinceEpoch() * 1000 + time.mid(time.size() - 4, 3).toInt();
+    while (!rest.empty() && next_field(rest, line.fields)) {
+    }
+    line.text = text;
+    return line;
+}
+
+auto explain_request(const std::vector<log_line>& lines, const std::string& request)
+    -> std::vector<log_line> {
+    auto found = std::vector<log_line>{};
+    auto instances = std::set<std::string>{};
+    auto servers = std::set<std::string>{};
+    for (const auto& it : lines) {
+        if (field(it, "request") == request) {
+            found.push_back(it);
+            instances.insert(it.instance.value);
+            servers.insert(field(it, "server"));
+            servers.insert(field(it, "primary"));
+        }
+    }
+    if (found.empty()) {
+        return found;
+    }
+    servers.erase("");
+    const auto by_time = [](const log_line& a, const log_line& b) {
+        return a.wall_us < b.wall_us;
+    };
+    const auto [first, last] = std::minmax_element(found.begin(), found.end(), by_time);
+    const auto from = first->wall_us - before_us;
+    const auto to = last->wall_us + after_us;
+    auto groups = std::set<std::string>{};
+    for (const auto& it : lines) {
+        if (servers.contains(field(it, "primary")) || servers.contains(field(it, "server"))) {
+            groups.insert(field(it, "group"));
+        }
+    }
+    groups.erase("");
+    for (const auto& it : lines) {
+        const auto event = value_of<log_event>(it.event);
+        if (!event || it.wall_us < from || it.wall_us > to || !field(it, "request").empty()) {
+            continue;
+        }
+        const auto of_group = groups.contains(field(it, "group"));
+        const auto here = instances.contains(it.instance.value);
+        const auto permission = *event == log_event::permit_lost || *event == log_event::permit_regained ||
+                                *event == log_event::primary_recorded || *event == log_event::server_unusable;
+        if ((here && (is_state_of_instance(*event) || (permission && of_group))) ||
+            (of_group && is_step_of_change(*event))) {
+            found.push_back(it);
+        }
+    }
+    std::stable_sort(found.begin(), found.end(), by_time);
+    return found;
+}
+
+} // namespace citronlug
