Let one mirror alone try a store that fails

An instance that the store does not serve made about seven calls a second: three mirrors, the duty record and its registration each tried by themselves.

Change: of the mirrors that the store failed, one tries; the others, and the duty and registration once all have failed, wait until it has an answer. A mirror that is paused forgets its failures, since nothing would show their end.

Ruled out: holding back also the mirrors that did not fail: with lost answers each failure of one would delay the others.

Tests: store_mirror, is_the_only_one_that_tries_a_store_that_fails, forgets_failures_while_it_is_paused.

--- a/src/libcitronlug/store_mirror.cpp
+++ b/src/libcitronlug/store_mirror.cpp
@@ -36,6 +36,9 @@
     if (paused_ && !paused) {
         list_again();
     }
+    if (paused && confirmed_at_) {
+        failures_ = 0; // nobody asks the store, so nothing would show that it answers again
+    }
     paused_ = paused;
 }
 
@@ -118,4 +121,10 @@
     return changes;
 }
 
+auto may_call(const std::vector<const store_mirror*>& all, const store_mirror& it) -> bool {
+    const auto failing =
+        std::find_if(all.begin(), all.end(), [](const auto* mirror) { return !mirror->is_available(); });
+    return it.is_available() || *failing == &it;
+}
+
 } // namespace citronlug
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -98,3 +98,31 @@
         now += 600ms;
     }
 }
+
+// Guards against several calls at once to a store that is in trouble, and against copies that stay behind after it.
+TEST(store_mirror, is_the_only_one_that_tries_a_store_that_fails) {
+    auto other = store_mirror{1s};
+    const auto all = std::vector<const store_mirror*>{&mirror, &other};
+    CHECK_TRUE(may_call(all, mirror) && may_call(all, other));
+    const auto fail = [&](store_mirror& it) {
+        const auto call = it.next(now);
+        static_cast<void>(it.on_answer(now, call->number, failed(store_outcome::unanswered)));
+    };
+    fail(other);
+    CHECK_TRUE(may_call(all, mirror) && may_call(all, other));
+    fail(mirror);
+    CHECK_TRUE(may_call(all, mirror));
+    CHECK_FALSE(may_call(all, other));
+    now += 1s;
+    const auto call = mirror.next(now);
+    static_cast<void>(mirror.on_answer(now, call->number, answer_of({{"a", "1", 10}}, 11)));
+    CHECK_TRUE(may_call(all, other));
+}
+
+// Guards against a mirror that holds the others back although it makes no calls itself.
+TEST(store_mirror, forgets_failures_while_it_is_paused) {
+    const auto call = mirror.next(now);
+    static_cast<void>(mirror.on_answer(now, call->number, failed(store_outcome::refused)));
+    mirror.set_paused(true);
+    CHECK_TRUE(mirror.is_available());
+}
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -95,8 +95,9 @@
 }
 
 auto session_daemon::pump_mirrors(time_point now) -> void {
+    const auto all = std::vector<const store_mirror*>{&primaries_.mirror, &servers_.mirror, &rules_.mirror};
     for (auto* it : {&rules_, &servers_, &primaries_}) {
-        const auto call = it->mirror.next(now);
+        const auto call = may_call(all, it->mirror) ? it->mirror.next(now) : std::nullopt;
         if (!call) {
             continue;
         }
@@ -165,9 +166,13 @@
     pump_mirrors(now);
 }
 
+auto session_daemon::store_answers() const -> bool {
+    return primaries_.mirror.is_available() || servers_.mirror.is_available() || rules_.mirror.is_available();
+}
+
 auto session_daemon::read_duty(time_point now) -> void {
     const auto paused = reading_duty_ || now - duty_read_at_ < duty_interval;
-    const auto wanted = !coordinator_answers_ || coordinator_.wants_duty_record();
+    const auto wanted = (!coordinator_answers_ || coordinator_.wants_duty_record()) && store_answers();
     if (leaving_ || !(read_duty_now_ || (wanted && !paused))) {
         return;
     }
@@ -314,7 +319,7 @@
 }
 
 auto session_daemon::register_instance(time_point now) -> void {
-    if (registered_ || registering_ || leaving_ || now < register_at_) {
+    if (registered_ || registering_ || leaving_ || now < register_at_ || !store_answers()) {
         return;
     }
     registering_ = true;
