Pause before a full server, and open no further connections to it

A statement that needs the primary was offered again at once, four times, and accounts without a connection opened one, which costs the server a slot for 12 ms.

Change: pauses of 20 to 160 ms after such a refusal, also for the primary. For half a second after it an instance that has a connection opens no further one. A refusal's quick answer no longer counts as the time of a statement there; it made a full server look fast.

Tests: session_writes, are_offered_to_a_full_server_with_growing_pauses (four tries at once before); a_server_pool, opens_no_further_connections_to_a_full_server.

--- a/src/include/citronlug/server_pool.h
+++ b/src/include/citronlug/server_pool.h
@@ -53,7 +53,9 @@
 struct server_health {
     duration usual_latency{30ms}; ///< moving average of whole answers
     std::uint32_t failures = 0;   ///< in a row
+    std::uint32_t refusals = 0;   ///< in a row, because its queue is full
     time_point usable_at;         ///< not chosen before, after failures
+    time_point full_until;        ///< sent nothing before, after its queue was full
     time_point current_at;        ///< a replica that lacked a position is not chosen for reads before
     time_point room_at;           ///< no connection above the share before, after the server had no room
     time_point open_at;           ///< no connection at all is opened before
@@ -107,6 +109,8 @@
     auto on_failure(const server_id& id, time_point now) -> void;
     auto on_lagging(const server_id& id, time_point now) -> void;
     auto on_no_room(const server_id& id, time_point now) -> void;
+    /// The server refused a statement because its queue is full.
+    auto on_full(const server_id& id, time_point now) -> void;
 
     /// Idle connections above the share, past their idle life, or to servers that are leaving, that should be
     /// closed now.
--- a/src/libcitronlug/server_pool.cpp
+++ b/src/libcitronlug/server_pool.cpp
@@ -23,6 +23,12 @@
 /// Pause after the first failure of a server; it doubles with each further one.
 constexpr auto first_pause = duration{50ms};
 constexpr auto longest_pause = duration{1s};
+/// Pause after a server refused a statement because its queue is full; it doubles with each further refusal.
+constexpr auto first_full_pause = duration{20ms};
+constexpr auto longest_full_pause = duration{160ms};
+/// For this time after such a pause an instance opens no connection to the server beside one that it has.
+/// Opening costs the server a slot for 12 ms, which a full one needs for statements.
+constexpr auto recently_full = duration{500ms};
 /// A replica that lacked a position is tried again after this time.
 constexpr auto lagging_pause = duration{120ms};
 /// After a server had no room, no connection above the share is opened for this time.
@@ -32,8 +38,8 @@
 /// An idle connection makes room for another client account's only after this time. A connection that has
 /// just been opened would otherwise be closed for the next statement in the queue before its own can use it.
 constexpr auto evicted_idle = duration{10ms};
-/// Idle connections above the share are closed after this time. A share of less than one connection is one that is
-/// kept idle for that part of this time.
+/// Idle connections above the share are closed after this time. A share of less than one connection is one
+/// that is kept idle for that part of this time.
 constexpr auto surplus_idle = duration{1s};
 
 } // namespace
@@ -134,7 +140,7 @@
 auto server_pool::estimate(const backend_server& server, const account_id& account, time_point now)
     -> std::optional<duration> {
     const auto& known = health(server.id);
-    if (server.state != server_state::ready || known.usable_at > now) {
+    if (server.state != server_state::ready || known.usable_at > now || known.full_until > now) {
         return std::nullopt;
     }
     const auto use = usage_of(server.id);
@@ -181,7 +187,9 @@
 
 auto server_pool::open(const backend_server& server, const account_id& account, time_point now) -> opening {
     auto result = opening{};
-    if (health(server.id).open_at > now) {
+    const auto& known = health(server.id);
+    const auto was_full = known.full_until != time_point{} && now < known.full_until + recently_full;
+    if (known.open_at > now || (was_full && usage_of(server.id).total() > 0)) {
         return result;
     }
     const auto budget = budgets_.find(server.group);
@@ -246,6 +254,7 @@
 auto server_pool::on_answer(const server_id& id, duration latency, time_point now) -> void {
     auto& it = health(id);
     it.failures = 0;
+    it.refusals = 0;
     it.usable_at = {};
     it.answered_at = now;
     it.usual_latency = std::chrono::duration_cast<duration>(it.usual_latency * (1 - latency_weight) +
@@ -271,6 +280,13 @@
     health(id).open_at = now + refused_pause;
 }
 
+auto server_pool::on_full(const server_id& id, time_point now) -> void {
+    auto& it = health(id);
+    const auto doublings = std::min(it.refusals, 5U);
+    it.full_until = now + std::min(longest_full_pause, first_full_pause * (1U << doublings));
+    ++it.refusals;
+}
+
 auto server_pool::surplus(time_point now) -> std::vector<connection_id> {
     auto found = std::vector<connection_id>{};
     auto totals = std::map<server_id, std::uint32_t>{};
@@ -285,7 +301,8 @@
         const auto leaving = known == nullptr || known->state == server_state::draining ||
                              known->started_ms != it.server.started_ms;
         const auto budget = budgets_.find(it.server.group);
-        const auto& [share, most, idle_life] = budget == budgets_.end() ? connection_budget{} : budget->second;
+        const auto& [share, most, idle_life] =
+            budget == budgets_.end() ? connection_budget{} : budget->second;
         const auto idle = now - it.used_at;
         const auto is_short = health(it.server.id).room_at > now;
         if (leaving || (totals[it.server.id] > share && idle >= surplus_idle) ||
--- a/src/libcitronlug/server_pool_test.cpp
+++ b/src/libcitronlug/server_pool_test.cpp
@@ -143,3 +143,18 @@
     CHECK_EQUAL(0, it.given_up);
     CHECK(it.openings * 20 < it.served);
 }
+
+// Guards against new connections that take the slots of a server which has more statements than it can run.
+TEST(a_server_pool, opens_no_further_connections_to_a_full_server) {
+    auto it = crowd{9, 39, 2};
+    auto& pool = it.pools.front();
+    const auto first = pool.open(it.server, account_id{"0"}, it.now);
+    CHECK(first.connection != 0);
+    pool.on_opened(first.connection, it.now);
+    pool.on_full(it.server.id, it.now);
+    CHECK(pool.open(it.server, account_id{"1"}, it.now + 300ms).connection == 0);
+    CHECK(pool.open(it.server, account_id{"1"}, it.now + 600ms).connection != 0);
+    // An instance without a connection may open one, or the full server's other callers would shut it out.
+    it.pools.back().on_full(it.server.id, it.now);
+    CHECK(it.pools.back().open(it.server, account_id{"1"}, it.now + 100ms).connection != 0);
+}
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -12,8 +12,6 @@
 constexpr auto slow_part = 1.0;
 /// Weight of a new time in the moving average of a route.
 constexpr auto usual_weight = 0.05;
-/// After a server refused a statement because its queue is full, it is not chosen for this time.
-constexpr auto full_pause = duration{20ms};
 /// After the primary refused a write as a replica, it is not used for this time.
 constexpr auto lost_lead_pause = duration{200ms};
 /// Positions of the primary are asked for if the newest one known is older, so that replicas can serve reads.
@@ -182,7 +180,7 @@
         group_of(work.route->group).experience.lost_lead = true;
         pool_.health(work.server).usable_at = now + lost_lead_pause;
     } else if (code == session_error::busy) {
-        pool_.health(work.server).usable_at = now + full_pause;
+        pool_.on_full(work.server, now);
     }
     if (had_begun) {
         sessions_.at(work.caller).transaction->connection = 0;
@@ -203,11 +201,14 @@
 
 auto session_proxy::implementation::on_result(time_point now, statement_work& work,
                                               const session_answer& answer) -> void {
-    pool_.on_answer(work.server, now - work.sent_at, now);
     note_position(now, work, answer);
-    auto& usual = usual_times_.try_emplace(work.route->name, now - work.sent_at).first->second;
-    usual = std::chrono::duration_cast<duration>(usual * (1 - usual_weight) +
-                                                 (now - work.sent_at) * usual_weight);
+    // The quick refusal of a full server says nothing about the time of a statement there.
+    if (!answer.error || !was_not_run(answer.error->code)) {
+        pool_.on_answer(work.server, now - work.sent_at, now);
+        auto& usual = usual_times_.try_emplace(work.route->name, now - work.sent_at).first->second;
+        usual = std::chrono::duration_cast<duration>(usual * (1 - usual_weight) +
+                                                     (now - work.sent_at) * usual_weight);
+    }
     if (answer.error) {
         on_refused(now, work, answer);
         return;
@@ -266,7 +267,7 @@
         group.experience.lost_lead = true;
         pool_.health(work.server).usable_at = now + lost_lead_pause;
     } else if (code == session_error::busy) {
-        pool_.health(work.server).usable_at = now + full_pause;
+        pool_.on_full(work.server, now);
     }
     if (work.in_transaction) {
         const auto is_commit = work.statement.verb == session_verb::commit;
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -266,6 +266,28 @@
     CHECK_EQUAL(std::string{"ok"}, last_code(1));
 }
 
+// Guards against a refusal while a server is full for a moment, and against a full server that is offered the
+// same statement without a pause.
+TEST(session_writes, are_offered_to_a_full_server_with_growing_pauses) {
+    start(1, "place");
+    proxy.on_statement(now, 1, query(session_verb::write, "q1", "WRITE a b"));
+    open_all();
+    auto tries = 0;
+    for (const auto full_until = now + 100ms; now < full_until; now += 10ms) {
+        while (!effects.requests.empty()) {
+            ++tries;
+            reply(next_request().connection, refused(session_error::busy, transaction_state::idle));
+        }
+        proxy.on_tick(now);
+    }
+    CHECK_EQUAL(0U, effects.answers[1].size());
+    CHECK_EQUAL(3, tries); // after 0, 20 and 60 ms
+    now += 80ms;
+    proxy.on_tick(now);
+    reply(next_request().connection, ok(transaction_state::idle, position{3, 101}));
+    CHECK_EQUAL(std::string{"ok"}, last_code(1));
+}
+
 // Guards against acknowledging a write of a primary that may have been replaced before it committed.
 TEST(session_writes, are_in_doubt_when_the_permission_ran_out_before_the_answer) {
     start(1, "place");
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -220,7 +220,9 @@
     const auto permitted = may_use_primary(now, group);
     if (work.needs_primary) {
         const auto* primary = permitted ? pool_.server(group.primary.primary) : nullptr;
-        return primary != nullptr ? std::vector{primary} : std::vector<const backend_server*>{};
+        return primary != nullptr && pool_.health(primary->id).full_until <= now
+                   ? std::vector{primary}
+                   : std::vector<const backend_server*>{};
     }
     const auto by_replica = need_of(work).any_replica;
     auto found = std::vector<std::pair<duration, const backend_server*>>{};
