--- a/src/granted.plugin/granted.cpp
+++ b/src/granted.plugin/granted.cpp
@@ -12,8 +12,8 @@
 /// A grant covers the requests that wait and the recent demand of this span; small grants leave few tokens
 /// unused at one entry while another waits.
 constexpr duration grant_span = 100ms;
-/// Requests expected within a grant's life for each token taken in advance: with two, one comes in six of seven
-/// cases.
+/// Requests expected within a grant's life for each token taken in advance: with two, one comes in six of
+/// seven cases.
 constexpr auto sure_use = 2.0;
 /// Time constant of the measured demand.
 constexpr duration demand_window = 1s;
@@ -61,8 +61,8 @@
         };
         // Nobody else can use a token that this entry holds until its life is over, so with sparse demand it
         // takes none in advance.
-        const auto in_advance =
-            std::min(std::ceil(expected(std::min(grant_span, life / 2))), std::floor(expected(life) / sure_use));
+        const auto in_advance = std::min(std::ceil(expected(std::min(grant_span, life / 2))),
+                                         std::floor(expected(life) / sure_use));
         const auto wanted = in_advance + std::max<std::uint32_t>(waiting_, 1);
         waiting_ = 0;
         return static_cast<std::uint32_t>(std::clamp(wanted, 1.0, std::max(1.0, limit_.burst)));
--- a/src/include/citronlug/store_mirror.h
+++ b/src/include/citronlug/store_mirror.h
@@ -109,8 +109,8 @@
     std::uint32_t failures_ = 0;
 };
 
-/// Of the mirrors that the store failed, the first one of `all` tries it, and the others wait until that one has an
-/// answer: each call is paid for and loads a store that is in trouble.
+/// Of the mirrors that the store failed, the first one of `all` tries it, and the others wait until that one
+/// has an answer: each call is paid for and loads a store that is in trouble.
 [[nodiscard]] auto may_call(const std::vector<const store_mirror*>& all, const store_mirror& it) -> bool;
 
 } // namespace citronlug
--- a/src/libcitronlug/primary_coordinator_test.cpp
+++ b/src/libcitronlug/primary_coordinator_test.cpp
@@ -217,9 +217,9 @@
 
 // Guards against a coordinator that is too small for the questions of the fleet.
 TEST(coordinator_duty, goes_to_the_larger_instance) {
-    for (auto n = 0; n < 20; ++n) {
+    for (auto run = incarnation{10}; run < 30; ++run) {
         // Names decide the order among equals.
-        add("small" + std::to_string(n), static_cast<incarnation>(10 + n), 0.12);
+        add("small" + std::to_string(run), run, 0.12);
     }
     running["a"] = false;
     run_for(6s);
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -99,7 +99,8 @@
     }
 }
 
-// Guards against several calls at once to a store that is in trouble, and against copies that stay behind after it.
+// Guards against several calls at once to a store that is in trouble, and against copies that stay behind
+// after it.
 TEST(store_mirror, is_the_only_one_that_tries_a_store_that_fails) {
     auto other = store_mirror{1s};
     const auto all = std::vector<const store_mirror*>{&mirror, &other};
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -69,7 +69,8 @@
 
     auto on_tick() -> void;
     auto pump_mirrors(time_point now) -> void;
-    /// False while the store has failed all mirrors; only one of them tries it then, and the duty is still renewed.
+    /// False while the store has failed all mirrors; only one of them tries it then, and the duty is still
+    /// renewed.
     [[nodiscard]] auto store_answers() const -> bool;
     auto on_store_answer(mirrored& it, std::uint64_t call, time_point asked_at, const store_answer& answer)
         -> void;
