Keep waiting work through a change of primary: no refusal at its end, no doubt about its outcome

At 11.6 s, when the change of primary ended, all nine instances refused 77 statements as "cut off" that had waited for it: the time without a permission was counted through the change, and looked at before the new permission.

Change: an instance that may use the primary is not cut off; the time without a permission begins anew when a change ends; only work that runs at the old primary outlives a permission. The log line of the released permissions names the instances that did not give theirs back.

Tests: session_cut_off, does_not_follow_from_a_change_of_primary_that_ends; session_writes, that_waited_for_a_change_of_primary_succeed_at_the_new_one. Both fail without the change.

--- a/src/include/citronlug/session_settings.h
+++ b/src/include/citronlug/session_settings.h
@@ -21,9 +21,9 @@
     std::string store_address;
     std::string promotion_address;
     duration leave_time = 6s; ///< from the request to leave until the process must have ended
-    double processor_share =
-        1;              ///< cores that the process may use; large instances take the coordinator's duty
-    int callers = 3000; ///< most open sessions
+    /// Cores that the process may use; instances with enough of them take the coordinator's duty.
+    double processor_share = 1;
+    int callers = 3000;        ///< most open sessions
     int log_lines_per_s = 100; ///< lines about single requests; lines on changes of state are always written
 
     auto operator==(const session_settings&) const -> bool = default;
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -647,9 +647,14 @@
         if (!all && now < group.permissions_end) {
             return;
         }
+        auto missing = std::string{group.expected ? "" : " unknown"};
+        for (const auto& name : group.expected.value_or(std::set<instance_id>{})) {
+            missing += has_released(name) ? "" : " " + name.value;
+        }
         emit(log_event::change_released, id.value,
-             fmt::format("generation={} by={} waited_ms={}", group.record.generation,
-                         all ? "answers" : "expiry", (now - group.phase_since) / 1ms));
+             fmt::format("generation={} by={} waited_ms={} missing={}", group.record.generation,
+                         all ? "answers" : "expiry", (now - group.phase_since) / 1ms,
+                         missing.empty() ? "none" : missing.substr(1)));
         group.phase = change_phase::choosing;
         group.phase_since = now;
     }
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -508,6 +508,9 @@
         // Positions of the old primary may not be part of the new one's log.
         group.samples.clear();
         group.experience = {};
+        if (group.permit_missing_since != time_point{}) {
+            group.permit_missing_since = now; // the change explains the time before
+        }
     }
     known = view;
     pump(now, view.group);
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -391,6 +391,42 @@
     CHECK_TRUE(proxy.can_serve(now));
 }
 
+// Guards against refusals of what has waited for a change of primary, at the moment in which the change ends.
+TEST(session_cut_off, does_not_follow_from_a_change_of_primary_that_ends) {
+    proxy.on_tick(now);
+    proxy.set_primary(now, view(2, primary, true));
+    proxy.on_tick(now);
+    start(1, "place");
+    start(2, "place");
+    proxy.on_statement(now, 1, query(session_verb::write, "q1", "WRITE a b"));
+    now += 500ms;
+    proxy.on_tick(now);
+    proxy.set_primary(now, view(2, replica));
+    proxy.on_tick(now);
+    CHECK_EQUAL(0U, effects.answers[1].size());
+    // The same without a permission yet: it is missing from now on.
+    proxy.set_primary(now, view(3, primary, true));
+    proxy.on_tick(now);
+    now += 500ms;
+    proxy.on_statement(now, 2, query(session_verb::write, "q2", "WRITE a b"));
+    proxy.set_primary(now, {group, primary, 3, false, {}});
+    proxy.on_tick(now);
+    CHECK_EQUAL(0U, effects.answers[2].size());
+}
+
+// Guards against "in doubt" for a write that waited for the change and ran at the new primary only.
+TEST(session_writes, that_waited_for_a_change_of_primary_succeed_at_the_new_one) {
+    proxy.set_primary(now, view(2, primary, true));
+    start(1, "place");
+    proxy.on_statement(now, 1, query(session_verb::write, "q1", "WRITE a b"));
+    now += 500ms;
+    proxy.on_tick(now);
+    proxy.set_primary(now, view(2, replica));
+    open_all();
+    reply(next_request().connection, ok(transaction_state::idle, position{4, 101}));
+    CHECK_EQUAL(std::string{"ok"}, last_code(1));
+}
+
 // Guards against an instance that is taken away during a change of primary, which meets all instances alike.
 TEST(session_cut_off, is_not_a_change_of_primary) {
     proxy.on_tick(now);
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -179,8 +179,8 @@
 }
 
 auto session_proxy::implementation::is_cut_off(time_point now, const group_state& group) const -> bool {
-    return group.was_permitted && group.permit_missing_since != time_point{} && !group.primary.changing &&
-           now - group.permit_missing_since > cut_off_after;
+    return group.was_permitted && !may_use_primary(now, group) && !group.primary.changing &&
+           group.permit_missing_since != time_point{} && now - group.permit_missing_since > cut_off_after;
 }
 
 auto session_proxy::implementation::is_unservable(time_point now, const statement_work& work) -> bool {
@@ -503,9 +503,11 @@
     }
     for (auto& [id, work] : works_) {
         const auto& group = group_of(work.route->group);
-        work.outlived_permission = work.outlived_permission ||
-                                   (group.primary.changing && work.generation < group.primary.generation &&
-                                    now - group.changing_since > release_grace);
+        // Work that still waits will run at the new primary.
+        const auto at_old = work.stage == work_stage::running && work.generation != 0 &&
+                            work.generation < group.primary.generation;
+        work.outlived_permission = work.outlived_permission || (group.primary.changing && at_old &&
+                                                                now - group.changing_since > release_grace);
     }
     for (auto& [id, group] : groups_) {
         const auto permitted = may_use_primary(now, group);
