Report on groups that an instance knows from the coordinator alone

An instance that follows the coordinator stops reading the store, before the first records of the groups are written; its reports listed the groups of the records that it had read, so none. They carried no word on permissions, no vote on the primary and no acknowledged position. Samples of the coordinator's positions were dropped for the same reason.

Change: reports list the groups of the records and of the coordinator's words. Samples are used once the words of the same answer are in force.

Ruled out: instances that are gone (nine run, nine are registered); writes that are still under way (300 ms at most).

Test: coordinator_words, tell_of_groups_that_were_not_read_in_the_store.

--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -97,6 +97,13 @@
     std::vector<token_answer> tokens;
 };
 
+/// The newest generation of each group that an instance knows, from records that it read in the store and
+/// words of the coordinator. An instance that follows the coordinator reads no records, so it may know a
+/// group by its words alone.
+[[nodiscard]] auto newest_generations(const std::map<group_id, primary_record>& stored,
+                                      const std::map<group_id, primary_record>& stated)
+    -> std::map<group_id, std::uint64_t>;
+
 /// Effects that the coordinator asks for.
 struct write_record {
     std::string name;
--- a/src/libcitronlug/coordination.cpp
+++ b/src/libcitronlug/coordination.cpp
@@ -41,6 +41,18 @@
     return std::chrono::duration_cast<duration>(longest_reluctance * lacking);
 }
 
+auto newest_generations(const std::map<group_id, primary_record>& stored,
+                        const std::map<group_id, primary_record>& stated)
+    -> std::map<group_id, std::uint64_t> {
+    auto newest = std::map<group_id, std::uint64_t>{};
+    for (const auto* records : {&stored, &stated}) {
+        for (const auto& [id, record] : *records) {
+            newest[id] = std::max(newest[id], record.generation);
+        }
+    }
+    return newest;
+}
+
 auto to_text(const duty_record& record) -> std::string {
     return compact({{"holder", text(record.holder.value)},
                     {"run", QString::number(record.run)},
--- a/src/libcitronlug/primary_coordinator_test.cpp
+++ b/src/libcitronlug/primary_coordinator_test.cpp
@@ -308,6 +308,19 @@
     CHECK_TRUE(node.holds_duty(now));
 }
 
+TEST_GROUP(coordinator_words){};
+
+// Guards against reports without a group that the instance knows from the coordinator alone: its permission
+// would never count as given back, and each change of primary would wait until all permissions have run out.
+TEST(coordinator_words, tell_of_groups_that_were_not_read_in_the_store) {
+    const auto other = group_id{"hire"};
+    const auto newest = newest_generations(
+        {{other, {server_id{"s4"}, 3, 5, false, {}}}},
+        {{group, {server_id{"s1"}, 1, 2, true, {}}}, {other, {server_id{"s4"}, 2, 4, false, {}}}});
+    CHECK_EQUAL(2U, newest.at(group));
+    CHECK_EQUAL(5U, newest.at(other));
+}
+
 TEST_GROUP_BASE(coordinator_change, coordinator_base){};
 
 // Guards against a first record that names a server which does not lead.
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -13,12 +13,13 @@
 
 auto session_daemon::make_report(time_point now, bool with_questions) -> instance_report {
     auto report = instance_report{settings_.instance, run_, settings_.peer_address, leaving_, {}, {}};
-    for (const auto& [id, record] : coordinator_.records()) {
+    auto stated = std::map<group_id, primary_record>{};
+    for (const auto& [id, it] : words_) {
+        stated.emplace(id, it.record);
+    }
+    for (const auto& [id, generation] : newest_generations(coordinator_.records(), stated)) {
         auto it = group_report{};
         it.group = id;
-        const auto word = words_.find(id);
-        const auto generation =
-            std::max(record.generation, word == words_.end() ? 0 : word->second.record.generation);
         it.released = proxy_.has_released(id, generation) ? generation : generation - 1;
         it.acknowledged = proxy_.newest_acknowledged(id);
         const auto experience = proxy_.experience_of(id);
@@ -82,12 +83,6 @@
         if (it.record.generation >= known.record.generation) {
             known = {asked_at, it.record};
         }
-        if (it.sample && !it.record.changing) {
-            const auto record = coordinator_.record_of(it.group);
-            if (record && record->generation == it.record.generation && !record->changing) {
-                proxy_.add_position(now, it.group, asked_at - it.sample_age, *it.sample);
-            }
-        }
     }
     if (!held_duty_) {
         catch_up_servers(answer->servers_version, newest_duty()->peer_address);
@@ -96,6 +91,16 @@
         catch_up_rules(now, newest_duty()->peer_address);
     }
     apply_primaries(now);
+    for (const auto& it : answer->groups) {
+        // A position of a primary that is known here to be replaced may not be part of the next one's log.
+        const auto record = coordinator_.record_of(it.group);
+        const auto is_newest = !record || record->generation < it.record.generation ||
+                               (record->generation == it.record.generation && !record->changing);
+        if (it.sample && !it.record.changing && is_newest &&
+            words_.at(it.group).record.generation == it.record.generation) {
+            proxy_.add_position(now, it.group, asked_at - it.sample_age, *it.sample);
+        }
+    }
     proxy_.on_tokens(now);
     if (proxy_.gate().has_questions()) {
         send_report(now);
