--- a/testsuite/platform-path/run.sh
+++ b/testsuite/platform-path/run.sh
@@ -5,7 +5,7 @@
 bin=${CITRONLUG_BIN:?set CITRONLUG_BIN to the build directory}
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-"$bin/platform/citronlug-soak" --program "$bin/platform/citronlug-sessiond" --logs "$work" --seed 1 --seconds 0 >"$work/out"
+"$bin/platform/standin/citronlug-soak" --program "$bin/platform/citronlug-sessiond" --logs "$work" --seed 1 --seconds 0 >"$work/out"
 cat "$work/out"
 if grep -q 'fault:' "$work/out" || ! grep -q ' 0 violations' "$work/out"; then
     exit 1
--- a/testsuite/platform-soak/run.sh
+++ b/testsuite/platform-soak/run.sh
@@ -9,7 +9,7 @@
 trap 'rm -rf "$work"' EXIT
 for seed in 1 $(grep -oE '^[0-9]+' "$here/seeds.txt" || true); do
     mkdir "$work/$seed"
-    "$bin/platform/citronlug-soak" --program "$bin/platform/citronlug-sessiond" --logs "$work/$seed" --seed "$seed" \
+    "$bin/platform/standin/citronlug-soak" --program "$bin/platform/citronlug-sessiond" --logs "$work/$seed" --seed "$seed" \
         --seconds 12 >"$work/$seed/out" || { cat "$work/$seed/out"; exit 1; }
     tail -n 1 "$work/$seed/out"
 done
