Close surplus idle connections after 300 ms

Callers saw statements wait for a connection, and instances met servers without room, although connections to these servers were idle elsewhere.

Cause: a connection belongs to one account. An instance kept up to four of them open for a second after their last use, for accounts that came back later than that; with 7 instances and 8 accounts before 16 connections the others found no room.

--- a/src/libcitronlug/server_pool.cpp
+++ b/src/libcitronlug/server_pool.cpp
@@ -41,7 +41,7 @@
 constexpr auto evicted_idle = duration{10ms};
 /// Idle connections above the share are closed after this time. A share of less than one connection is one
 /// that is kept idle for that part of this time.
-constexpr auto surplus_idle = duration{1s};
+constexpr auto surplus_idle = duration{300ms};
 
 } // namespace
 
--- a/src/libcitronlug/server_pool_test.cpp
+++ b/src/libcitronlug/server_pool_test.cpp
@@ -155,6 +155,16 @@
     CHECK(pool.open(it.server, account_id{"0"}, it.now + 30ms).connection != 0);
 }
 
+// Guards against instances that keep idle connections above their share, for accounts that do not come back
+// soon, while the others find no room.
+TEST(a_server_pool, shares_few_connections_among_instances_with_many_accounts) {
+    auto it = crowd{7, 16, 8};
+    it.run(60s, 25);
+    CHECK(it.served > 1000);
+    CHECK_EQUAL(0, it.given_up);
+    CHECK_COMPARE(it.no_room * 50, <, it.served);
+}
+
 // Guards against new connections that take the slots of a server which has more statements than it can run.
 TEST(a_server_pool, opens_no_further_connections_to_a_full_server) {
     auto it = crowd{9, 39, 2};
