Refuse what a cut-off instance cannot serve before looking at its rate

Callers of instances that had lost the store and the coordinator waited 250 to 500 ms and were told that their account is over its rate. It was not, and the instance could serve nothing: "cut off; retry at once at another one" is the true answer, and it was known at once.

Cause: admission waited for a token of the coordinator, which a cut-off instance does not reach, before the check for work that cannot be served.

Test that failed before: session_cut_off, refuses_before_it_looks_at_the_rate (no answer).

Ruled out: slow return to the store; the partition ends at 10.8 s and the instances have their permissions back at 11.5 s.

--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -364,6 +364,21 @@
     CHECK_EQUAL(0U, effects.requests.size());
 }
 
+// Guards against callers that wait for a token of their account first, only to be told that their account is
+// over its rate: an instance that is cut off does not reach the coordinator of the rates either.
+TEST(session_cut_off, refuses_before_it_looks_at_the_rate) {
+    const auto limited = make_rules(2);
+    limited->accounts[account] = {account, {0.1, 1}};
+    proxy.set_rules(now, limited);
+    start(1, "place");
+    lose_permission();
+    now += 350ms;
+    proxy.on_tick(now);
+    proxy.on_statement(now, 1, query(session_verb::write, "q1", "WRITE a b"));
+    CHECK_EQUAL(std::string{"busy"}, last_code(1));
+    CHECK(last_answer(1).error->text.find("cut off") != std::string::npos);
+}
+
 // Guards against refusals of reads that a replica can serve with the evidence that is left.
 TEST(session_cut_off, goes_on_with_reads_while_there_is_evidence) {
     start(1, "approve");
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -93,6 +93,10 @@
 }
 
 auto session_proxy::implementation::admit(time_point now, statement_work& work) -> void {
+    if (is_unservable(now, work)) {
+        refuse_unservable(now, work);
+        return;
+    }
     const auto deadline = token_deadline(now, work);
     const auto outcome =
         work.route->open_to_all ? admission::admitted : gate_.admit(now, work.account, deadline);
