Hold callers for a token without the coordinator only a part of their time

Callers of statements with 800 ms were held 250 ms for a token at an instance that could not reach the coordinator of the rates, and refused then.

Cause: the wait was the same for all routes. A caller that is refused tries another instance, and has too little time left after two such waits.

Change: the wait is at most an eighth of the statement's time, and 250 ms.

Test that failed before: session_cut_off, holds_callers_for_a_token_only_a_part_of_their_time.

Ruled out: refusing at once; an instance without the coordinator earns tokens of its own by its share.

--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -379,6 +379,20 @@
     CHECK(last_answer(1).error->text.find("cut off") != std::string::npos);
 }
 
+// Guards against callers with little time that are held for a token, while the coordinator of the rates is
+// away, until an instance that has one could not answer in time any more.
+TEST(session_cut_off, holds_callers_for_a_token_only_a_part_of_their_time) {
+    const auto limited = make_rules(2);
+    limited->accounts[account] = {account, {0.1, 1}};
+    proxy.set_rules(now, limited);
+    start(1, "place"); // a second for a statement
+    proxy.on_statement(now, 1, query(session_verb::write, "q1", "WRITE a b"));
+    CHECK_EQUAL(0U, effects.answers[1].size());
+    now += 130ms;
+    proxy.on_tick(now);
+    CHECK_EQUAL(std::string{"busy"}, last_code(1));
+}
+
 // Guards against refusals of reads that a replica can serve with the evidence that is left.
 TEST(session_cut_off, goes_on_with_reads_while_there_is_evidence) {
     start(1, "approve");
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -11,8 +11,10 @@
 /// Longest wait of an operation for a token of its client account. An account above its rate is refused soon,
 /// so that its callers can slow down.
 constexpr auto token_wait = duration{100ms};
-/// The same without the coordinator, which is replaced in less time if it is only leaving.
+/// The same without the coordinator, which is replaced in less time if it is only leaving. Callers with
+/// little time are refused after a part of it, so that they reach an instance with tokens in time.
 constexpr auto token_wait_alone = duration{250ms};
+constexpr auto token_wait_part = 0.125;
 /// Part of the statement timeout that a statement may wait for a connection; the rest is for running it, or
 /// for the caller to try another instance.
 constexpr auto queue_part = 0.6;
@@ -128,7 +130,8 @@
 
 auto session_proxy::implementation::token_deadline(time_point now, const statement_work& work) const
     -> time_point {
-    const auto wait = gate_.has_accountant(now) ? token_wait : token_wait_alone;
+    const auto part = std::chrono::duration_cast<duration>(work.route->statement_timeout * token_wait_part);
+    const auto wait = gate_.has_accountant(now) ? token_wait : std::min(token_wait_alone, part);
     return std::min(work.received + wait, work.give_up_queued);
 }
 
