Keep a share below one connection for its part of a second

No caller saw this; found while reading the closing of surplus connections. The idle time of a share below one connection was derived from the same constant, so the large fleets closed theirs after 145 ms instead of 480 ms.

Test that failed before: a_server_pool, keeps_a_share_below_one_connection_for_that_part_of_a_second.

Deployments with a connection or more for each instance are not affected.

--- a/src/libcitronlug/server_pool.cpp
+++ b/src/libcitronlug/server_pool.cpp
@@ -39,9 +39,10 @@
 /// An idle connection makes room for another client account's only after this time. A connection that has
 /// just been opened would otherwise be closed for the next statement in the queue before its own can use it.
 constexpr auto evicted_idle = duration{10ms};
-/// Idle connections above the share are closed after this time. A share of less than one connection is one
-/// that is kept idle for that part of this time.
+/// Idle connections above the share are closed after this time.
 constexpr auto surplus_idle = duration{300ms};
+/// A share of less than one connection is one that is kept idle for that part of this time.
+constexpr auto scarce_idle = duration{1s};
 
 } // namespace
 
@@ -52,7 +53,7 @@
     const auto share = std::max(1U, static_cast<std::uint32_t>(part));
     auto budget = connection_budget{share, std::max(share, std::min(usable, share * most_shares)), {}};
     if (part < 1) {
-        budget.idle_life = std::chrono::duration_cast<duration>(surplus_idle * part);
+        budget.idle_life = std::chrono::duration_cast<duration>(scarce_idle * part);
     }
     return budget;
 }
--- a/src/libcitronlug/server_pool_test.cpp
+++ b/src/libcitronlug/server_pool_test.cpp
@@ -136,6 +136,14 @@
     CHECK_EQUAL(0, it.no_room);
 }
 
+// Guards against connections of large fleets that are closed sooner than their share of a server allows: each
+// statement would open one.
+TEST(a_server_pool, keeps_a_share_below_one_connection_for_that_part_of_a_second) {
+    const auto budget = budget_of(82, 80); // half of 80 usable connections, so half of one each
+    CHECK_EQUAL(1U, budget.share);
+    CHECK(budget.idle_life == duration{500ms});
+}
+
 // Guards against connections that are opened for each statement although there are enough for all instances.
 TEST(a_server_pool, keeps_connections_open_when_there_are_enough) {
     auto it = crowd{9, 39, 1};
