--- a/src/include/citronlug/account_gate.h
+++ b/src/include/citronlug/account_gate.h
@@ -12,7 +12,8 @@
 namespace citronlug {
 
 /// Part of its share of a rate that an instance uses while it cannot reach the accountant. The accountant
-/// keeps the same part free for instances that it does not hear.
+/// keeps the whole share free for instances that it does not hear, since shares are stated at different
+/// times.
 inline constexpr double unheard_part = 0.9;
 /// An instance without an answer of the accountant for this time, or with a question that failed, goes over
 /// to its part of the rate.
@@ -87,8 +88,8 @@
     struct usage {
         double per_s = 0; ///< moving average of tokens taken
         time_point at;
-        double stated_share =
-            0; ///< part of the rate that the instance uses when it does not reach the accountant
+        /// Part of the rate that the instance uses when it does not reach the accountant.
+        double stated_share = 0;
         time_point heard_at;
         bool unheard = false; ///< as `set_heard` last said
     };
--- a/src/include/citronlug/rate_window.h
+++ b/src/include/citronlug/rate_window.h
@@ -40,8 +40,8 @@
 
     rate_limit limit_;
     duration window_;
-    double level_ =
-        0; ///< of a bucket that holds the burst and fills with the rate and an even part of the burst
+    /// Level of a bucket that holds the burst and fills with the rate and an even part of the burst.
+    double level_ = 0;
     double kept_ = 0;          ///< part that others may use
     double used_ = 0;          ///< sum of `grants_`
     std::deque<grant> grants_; ///< of the last window, oldest first
--- a/src/libcitronlug/account_gate.cpp
+++ b/src/libcitronlug/account_gate.cpp
@@ -11,9 +11,6 @@
 
 using seconds = std::chrono::duration<double>;
 
-/// Part of a rate that unheard instances may use before the accountant keeps anything free for them: the
-/// permitted excess over a window covers it.
-constexpr auto covered_part = 0.0;
 /// Time constant of the average of used tokens.
 constexpr auto usage_window = seconds{3};
 /// An instance that used nothing lately has this part of an equal share.
