Keep the other servers when one entry of the store cannot be parsed

Cause: http_client parsed an answer of the store as one document and ignored the error. One entry of another writer that Qt's parser rejects (nested 1,100 deep, 1e999, a byte that is no UTF-8) made the list look empty and valid, with revision 0: every server was dropped after its retention time, and the watch began again at 0.

An unreadable entry is counted, an unusable one logged once per revision (record-rejected) and not passed on to other instances. Addresses need a port of 1 to 65535; numbers of rules are range-checked, and the last good rules stay in force.

--- a/src/include/citronlug/log_events.h
+++ b/src/include/citronlug/log_events.h
@@ -34,17 +34,18 @@
     transaction_ended,
     server_unusable,
     lines_dropped,
+    record_rejected,
 };
 
 template <>
 struct name_table<log_event> {
-    static constexpr std::array<std::string_view, 28> names{
+    static constexpr std::array<std::string_view, 29> names{
         "process-started",     "process-stopping", "process-stopped", "settings-reloaded", "dependency-lost",
         "dependency-regained", "rules-applied",    "servers-changed", "primary-recorded",  "permit-lost",
         "permit-regained",     "change-started",   "change-released", "change-ordered",    "change-finished",
         "change-abandoned",    "duty-taken",       "duty-lost",       "request-served",    "request-slow",
         "request-retried",     "request-refused",  "request-failed",  "request-in-doubt",  "session-rejected",
-        "transaction-ended",   "server-unusable",  "lines-dropped"};
+        "transaction-ended",   "server-unusable",  "lines-dropped",   "record-rejected"};
 };
 
 } // namespace citronlug
--- a/src/include/citronlug/store_mirror.h
+++ b/src/include/citronlug/store_mirror.h
@@ -47,11 +47,12 @@
 /// Answer to a listing or a watch.
 struct store_answer {
     store_outcome outcome = store_outcome::unanswered;
-    std::vector<store_record> records; ///< listed or changed records
-    std::vector<std::string> removed;  ///< names of removed records
-    bool has_more = false;             ///< the listing has another page, after its last record
-    std::uint64_t revision = 0;        ///< of the store
-    std::string problem;               ///< description of a failure, for the log
+    std::vector<store_record> records;    ///< listed or changed records
+    std::vector<std::string> removed;     ///< names of removed records
+    bool has_more = false;                ///< the listing has another page, after its last record
+    std::uint64_t revision = 0;           ///< of the store
+    std::uint32_t unreadable_records = 0; ///< entries left out because they have no readable name
+    std::string problem;                  ///< description of a failure, for the log
 };
 
 /// A store call that a mirror requests.
--- a/src/libcitronlug/store_mirror.cpp
+++ b/src/libcitronlug/store_mirror.cpp
@@ -86,7 +86,8 @@
             records_.erase(name);
             changes.push_back({{name, {}, 0}, true});
         }
-        if (!changes.empty()) {
+        // A change that cannot be read must not be reported by each further watch.
+        if (!changes.empty() || answer.unreadable_records > 0) {
             revision_ = std::max(*revision_, answer.revision);
         }
         confirmed_at_ = asked_at_;
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -46,6 +46,15 @@
     CHECK_EQUAL(16U, mirror.next_call(now)->revision);
 }
 
+// Guards against watching again and again, without a pause, for a change that cannot be read.
+TEST(store_mirror, goes_on_after_a_change_that_cannot_be_read) {
+    const auto first = mirror.next_call(now);
+    auto answer = answer_of({}, 15);
+    answer.unreadable_records = 1;
+    CHECK_TRUE(mirror.on_answer(now, first->number, answer).empty());
+    CHECK_EQUAL(15U, mirror.next_call(now)->revision);
+}
+
 // Guards against a stale copy after the store dropped its history or a watch failed.
 TEST(store_mirror, lists_again_after_lost_history_and_after_a_failure) {
     for (const auto outcome : {store_outcome::gone, store_outcome::unanswered, store_outcome::refused}) {
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -1,5 +1,7 @@
 #include "session_daemon.h"
 
+#include <citronlug/network_address.h>
+
 #include <QJsonDocument>
 #include <QJsonObject>
 
@@ -40,6 +42,9 @@
 
 constexpr auto registration_retry = duration{300ms};
 
+/// Rejected records that are remembered, so that each is logged once.
+constexpr auto max_rejected_records = std::size_t{1000};
+
 } // namespace
 
 auto session_daemon::on_tick() -> void {
@@ -131,10 +136,15 @@
              {"outcome", std::string{name_of(answer.outcome)}},
              {"why", answer.problem}});
     }
+    if (answer.unreadable_records > 0) {
+        log(log_level::warning, log_event::record_rejected,
+            {{"kind", std::string{name_of(it.kind)}},
+             {"why", fmt::format("{} records have no readable name", answer.unreadable_records)}});
+    }
     switch (it.kind) {
     case record_kind::rules:
         for (const auto& change : changes) {
-            if (!change.removed) {
+            if (!change.removed && change.record.name == platform_.records.rules_record_name()) {
                 apply_rules(now, change.record.value);
             }
         }
@@ -143,11 +153,7 @@
         if (answer.outcome == store_outcome::ok && it.mirror.confirmed_at() &&
             (!changes.empty() || !servers_listed_)) {
             servers_listed_ = true;
-            auto records = std::map<std::string, std::string>{};
-            for (const auto& [name, record] : it.mirror.records()) {
-                records[name] = record.value;
-            }
-            replace_servers(now, records);
+            replace_servers(now, it.mirror.records());
         }
         break;
     case record_kind::primaries:
@@ -217,6 +223,7 @@
     auto decoded = platform_.records.decode_rules(value);
     if (const auto* reason = std::get_if<failure>(&decoded)) {
         log(log_level::error, log_event::rules_applied, {{"version", "none"}, {"why", reason->message}});
+        metrics_.count("citronlug_rules_rejected_total");
         return;
     }
     auto rules = std::make_shared<const desired_state>(std::get<desired_state>(std::move(decoded)));
@@ -230,16 +237,38 @@
     token_allocator_.set_limits(now, *rules);
 }
 
-auto session_daemon::replace_servers(time_point now, const std::map<std::string, std::string>& records)
+auto session_daemon::log_rejected(record_kind kind, const store_record& record, const std::string& reason)
+    -> void {
+    if (rejected_records_.size() >= max_rejected_records) {
+        rejected_records_.clear();
+    }
+    const auto [it, is_new] = rejected_records_.try_emplace({kind, record.name}, record.revision);
+    if (!is_new && it->second == record.revision) {
+        return;
+    }
+    it->second = record.revision;
+    metrics_.count("citronlug_records_rejected_total", {{"kind", std::string{name_of(kind)}}});
+    log(log_level::warning, log_event::record_rejected,
+        {{"kind", std::string{name_of(kind)}}, {"name", record.name}, {"why", reason}});
+}
+
+auto session_daemon::replace_servers(time_point now, const std::map<std::string, store_record>& records)
     -> void {
     auto next = std::map<server_id, backend_server>{};
     auto text = QJsonObject{};
-    for (const auto& [name, value] : records) {
-        text[QString::fromStdString(name)] = QString::fromStdString(value);
-        if (auto server = platform_.records.decode_server(name, value)) {
-            departed_servers_.erase(server->id);
-            next.emplace(server->id, std::move(*server));
+    std::erase_if(rejected_records_, [&](const auto& it) {
+        return it.first.first == record_kind::servers && !records.contains(it.first.second);
+    });
+    for (const auto& [name, record] : records) {
+        auto decoded = platform_.records.decode_server(name, record.value);
+        if (const auto* reason = std::get_if<failure>(&decoded)) {
+            log_rejected(record_kind::servers, record, reason->message);
+            continue;
         }
+        auto& server = std::get<backend_server>(decoded);
+        text[QString::fromStdString(name)] = QString::fromStdString(record.value);
+        departed_servers_.erase(server.id);
+        next.emplace(server.id, std::move(server));
     }
     for (const auto& [id, it] : registered_servers_) {
         if (!next.contains(id)) {
@@ -265,11 +294,19 @@
         if (servers.version == 0 || !coordinator_reachable_) {
             return;
         }
+        const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(servers.value));
+        if (!document.isObject()) {
+            log(log_level::error, log_event::record_rejected,
+                {{"kind", std::string{name_of(record_kind::servers)}},
+                 {"why", "the coordinator's list of servers is not a JSON object"}});
+            return;
+        }
         servers_version_ = servers.version;
-        auto records = std::map<std::string, std::string>{};
-        const auto object = QJsonDocument::fromJson(QByteArray::fromStdString(servers.value)).object();
+        auto records = std::map<std::string, store_record>{};
+        const auto object = document.object();
         for (auto it = object.begin(); it != object.end(); ++it) {
-            records[it.key().toStdString()] = it.value().toString().toStdString();
+            auto name = it.key().toStdString();
+            records[name] = {name, it.value().toString().toStdString(), 0};
         }
         replace_servers(clock_now(), records);
     });
@@ -361,7 +398,12 @@
         }
         for (const auto& it : answer.records) {
             const auto value = QJsonDocument::fromJson(QByteArray::fromStdString(it.value)).object();
-            (*addresses)[instance_id{it.name}] = value["peer_address"].toString().toStdString();
+            auto address = value["peer_address"].toString().toStdString();
+            if (!is_connectable(address)) {
+                log_rejected(record_kind::instances, it, "the peer address is not an IP address with a port");
+                continue;
+            }
+            (*addresses)[instance_id{it.name}] = std::move(address);
         }
         if (answer.has_more && !answer.records.empty()) {
             list_instances(answer.records.back().name, addresses);
--- a/src/sessiond/line_socket.cpp
+++ b/src/sessiond/line_socket.cpp
@@ -1,5 +1,7 @@
 #include "line_socket.h"
 
+#include <citronlug/network_address.h>
+
 #include <QHostAddress>
 #include <QPointer>
 
@@ -23,18 +25,6 @@
 
 } // namespace
 
-auto split_address(const std::string& address) -> std::pair<QString, std::uint16_t> {
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return {};
-    }
-    auto host = address.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[') {
-        host = host.substr(1, host.size() - 2);
-    }
-    return {QString::fromStdString(host), QString::fromStdString(address.substr(colon + 1)).toUShort()};
-}
-
 line_socket::line_socket(QTcpSocket* socket, std::size_t max_line_bytes, handlers on, QObject* parent)
     : QObject{parent}
     , socket_{socket}
@@ -71,8 +61,8 @@
 
 auto line_socket::connect_to(const std::string& address) -> void {
     post([this, address] {
-        const auto [host, port] = split_address(address);
-        socket_->connectToHost(QHostAddress{host}, port);
+        const auto to = parse_network_address(address).value_or(network_address{});
+        socket_->connectToHost(QHostAddress{QString::fromStdString(to.host)}, to.port);
     });
 }
 
--- a/src/sessiond/line_socket.h
+++ b/src/sessiond/line_socket.h
@@ -53,7 +53,4 @@
     bool detached_ = false; ///< no more handlers are called
 };
 
-/// Splits numeric "host:port"; the port is 0 if `address` has another form.
-[[nodiscard]] auto split_address(const std::string& address) -> std::pair<QString, std::uint16_t>;
-
 } // namespace citronlug
--- a/src/sessiond/platform.h
+++ b/src/sessiond/platform.h
@@ -68,10 +68,13 @@
     auto operator=(const record_codec&) -> record_codec& = delete;
     virtual ~record_codec() = default;
 
+    /// Name of the record that holds the rules. Other records of that kind mean nothing.
+    [[nodiscard]] virtual auto rules_record_name() const -> std::string_view = 0;
+    /// Fails if the rules cannot be read or hold a number out of range.
     [[nodiscard]] virtual auto decode_rules(const std::string& value) const -> result<desired_state> = 0;
-    /// Empty if the record does not describe a usable server.
+    /// Fails, with the reason, if the record does not describe a usable server.
     [[nodiscard]] virtual auto decode_server(const std::string& name, const std::string& value) const
-        -> std::optional<backend_server> = 0;
+        -> result<backend_server> = 0;
 };
 
 /// Asynchronous calls to the platform's store. Each handler is called exactly once, on the calling thread,
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -1,5 +1,7 @@
 #include "session_daemon.h"
 
+#include <citronlug/network_address.h>
+
 #include <QHostAddress>
 #include <QHttpServerResponse>
 #include <fmt/format.h>
@@ -90,8 +92,8 @@
     QObject::connect(&callers_, &QTcpServer::newConnection, this, [this] { on_new_connection(); });
     callers_.setListenBacklogSize(listen_backlog);
     callers_.setMaxPendingConnections(listen_backlog);
-    const auto [host, port] = split_address(settings_.caller_address);
-    if (!callers_.listen(QHostAddress{host}, port)) {
+    const auto callers = parse_network_address(settings_.caller_address).value_or(network_address{});
+    if (!callers_.listen(QHostAddress{QString::fromStdString(callers.host)}, callers.port)) {
         return fmt::format("cannot listen on {}: {}", settings_.caller_address,
                            callers_.errorString().toStdString());
     }
@@ -118,8 +120,8 @@
         return QHttpServerResponse{"text/plain; version=0.0.4", QByteArray::fromStdString(metrics_.text())};
     });
     const auto listen = [](QTcpServer& on, QHttpServer& page, const std::string& address) {
-        const auto [host, port] = split_address(address);
-        if (!on.listen(QHostAddress{host}, port)) {
+        const auto it = parse_network_address(address).value_or(network_address{});
+        if (!on.listen(QHostAddress{QString::fromStdString(it.host)}, it.port)) {
             return false;
         }
         page.bind(&on);
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -81,8 +81,11 @@
     /// Watches the store only while this instance coordinates or the coordinator is unreachable.
     auto update_store_watches() -> void;
     auto apply_rules(time_point now, const std::string& value) -> void;
-    /// Replaces the registered servers by `records`, which maps names to values.
-    auto replace_servers(time_point now, const std::map<std::string, std::string>& records) -> void;
+    /// Replaces the registered servers by those that `records` describes. Records that describe none are
+    /// logged once and not passed on to other instances.
+    auto replace_servers(time_point now, const std::map<std::string, store_record>& records) -> void;
+    /// Logs why a record is not used, once for each revision of it.
+    auto log_rejected(record_kind kind, const store_record& record, const std::string& reason) -> void;
     auto apply_servers(time_point now) -> void;
     /// Fetches the coordinator's list of servers if its version differs from this instance's.
     auto fetch_newer_servers(std::uint64_t version, const std::string& address) -> void;
@@ -145,6 +148,7 @@
     std::map<server_id, backend_server> registered_servers_;
     std::map<server_id, departed_server> departed_servers_;
     bool servers_listed_ = false;
+    std::map<std::pair<record_kind, std::string>, std::uint64_t> rejected_records_; ///< revision by name
     /// Version of the coordinator's list of servers; while this instance coordinates, of its own list.
     std::uint64_t servers_version_ = 0;
     bool fetching_servers_ = false;
