Report to the coordinator only what changed, and answer only what is new

Cause: each report of an instance listed all groups and each answer the state of all groups, four times a second and once more for each request for tokens, so control traffic grew with instances x groups (about 100 bytes a group each way).

Change: report_exchange. A report names the one that it builds on and lists only the groups whose state changed; the coordinator completes it, or asks for a complete one if it lacks the base. An answer names the version of all primary records and carries them only if the instance has another version; positions follow by number, each once. Instances and coordinators of earlier versions get complete messages.

--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -78,6 +78,11 @@
     bool leaving = false; ///< shutting down: the lease is not handed over to it
     std::vector<group_report> groups;
     std::vector<token_request> token_requests;
+    std::uint64_t number = 0; ///< counts the reports of this run; 0: not counted
+    /// The report that this one builds on: groups that are left out are as in it. 0: the report is complete.
+    std::uint64_t base = 0;
+    std::uint64_t records_version = 0; ///< of the primary records that the instance has; 0: none
+    std::uint64_t samples_number = 0;  ///< of the positions that it has; see `report_answer`
 };
 
 /// State of one group as the coordinator reports it.
@@ -88,6 +93,13 @@
     duration sample_age{};          ///< since the position was requested
 };
 
+/// Newest position of a primary, by the group's place in the coordinator's list of records.
+struct group_sample {
+    std::uint32_t index = 0;
+    position at;
+    duration age{}; ///< since the position was requested
+};
+
 struct report_answer {
     bool is_coordinating = false;      ///< false: no other member is set
     std::uint64_t fencing_token = 0;   ///< of the coordinator lease
@@ -95,8 +107,12 @@
     std::uint32_t instances = 1;       ///< number of registered instances
     std::uint64_t rules_version = 0;   ///< newest rules at the coordinator
     std::uint64_t servers_version = 0; ///< changes with the coordinator's list of servers
-    std::vector<group_status> groups;
+    std::vector<group_status> groups; ///< empty if the instance has the records of `records_version`
     std::vector<token_response> tokens;
+    std::uint64_t records_version = 0;  ///< names the state of all primary records
+    std::uint64_t samples_number = 0;   ///< counts the positions received since `records_version` began
+    std::vector<group_sample> samples;  ///< newer ones than the instance has, if `groups` is empty
+    bool wants_complete_report = false; ///< the report builds on one that the coordinator does not have
 };
 
 /// The newest generation of each group, from the records read from the store and those reported by the
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -164,6 +164,18 @@
   questions @3 :List(TokenQuestion);
   peerAddress @4 :Text;
   leaving @5 :Bool;
+  number @6 :UInt64; # counts the reports of this run
+  base @7 :UInt64; # the report that this one builds on; 0: complete
+  recordsVersion @8 :UInt64; # of the records that the instance has; 0: none
+  samplesNumber @9 :UInt64; # of the positions that the instance has
+}
+
+# Newest position of a primary, by its group's place in the records of the answer's version.
+struct GroupSample {
+  index @0 :UInt32;
+  ageUs @1 :UInt32;
+  term @2 :UInt64;
+  log @3 :UInt64;
 }
 
 struct GroupWord {
@@ -186,6 +198,10 @@
   token @5 :UInt64;
   renewals @6 :UInt64;
   serversVersion @7 :UInt64;
+  recordsVersion @8 :UInt64; # names the state of all records; groups is empty if the instance has it
+  samples @9 :List(GroupSample);
+  wantsCompleteReport @10 :Bool;
+  samplesNumber @11 :UInt64; # counts the positions received since recordsVersion began
 }
 
 # Interface of a connection that is not authenticated yet.
--- a/src/peer/peer.capnp.h
+++ b/src/peer/peer.capnp.h
@@ -36,6 +36,7 @@
 CAPNP_DECLARE_SCHEMA(dbf9b83d6064ea30);
 CAPNP_DECLARE_SCHEMA(8de0051ae6cf2245);
 CAPNP_DECLARE_SCHEMA(a877fb9ff9642259);
+CAPNP_DECLARE_SCHEMA(a9a8f22398ad2dfd);
 CAPNP_DECLARE_SCHEMA(d607e7ee910a54ad);
 CAPNP_DECLARE_SCHEMA(c60cb8a5ba5ec98c);
 CAPNP_DECLARE_SCHEMA(be62c75be6c6eb28);
@@ -337,7 +338,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a877fb9ff9642259, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a877fb9ff9642259, 6, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GroupSample {
+  GroupSample() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a9a8f22398ad2dfd, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -367,7 +383,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c60cb8a5ba5ec98c, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c60cb8a5ba5ec98c, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2765,6 +2781,14 @@
 
   inline bool getLeaving() const;
 
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint64_t getBase() const;
+
+  inline  ::uint64_t getRecordsVersion() const;
+
+  inline  ::uint64_t getSamplesNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2827,6 +2851,18 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
+  inline  ::uint64_t getRecordsVersion();
+  inline void setRecordsVersion( ::uint64_t value);
+
+  inline  ::uint64_t getSamplesNumber();
+  inline void setSamplesNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2853,6 +2889,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class GroupSample::Reader {
+public:
+  typedef GroupSample Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getIndex() const;
+
+  inline  ::uint32_t getAgeUs() const;
+
+  inline  ::uint64_t getTerm() const;
+
+  inline  ::uint64_t getLog() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GroupSample::Builder {
+public:
+  typedef GroupSample Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getIndex();
+  inline void setIndex( ::uint32_t value);
+
+  inline  ::uint32_t getAgeUs();
+  inline void setAgeUs( ::uint32_t value);
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline  ::uint64_t getLog();
+  inline void setLog( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GroupSample::Pipeline {
+public:
+  typedef GroupSample Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GroupWord::Reader {
 public:
   typedef GroupWord Reads;
@@ -3015,6 +3142,15 @@
 
   inline  ::uint64_t getServersVersion() const;
 
+  inline  ::uint64_t getRecordsVersion() const;
+
+  inline bool hasSamples() const;
+  inline  ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>::Reader getSamples() const;
+
+  inline bool getWantsCompleteReport() const;
+
+  inline  ::uint64_t getSamplesNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3075,6 +3211,22 @@
   inline  ::uint64_t getServersVersion();
   inline void setServersVersion( ::uint64_t value);
 
+  inline  ::uint64_t getRecordsVersion();
+  inline void setRecordsVersion( ::uint64_t value);
+
+  inline bool hasSamples();
+  inline  ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>::Builder getSamples();
+  inline void setSamples( ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>::Builder initSamples(unsigned int size);
+  inline void adoptSamples(::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>> disownSamples();
+
+  inline bool getWantsCompleteReport();
+  inline void setWantsCompleteReport(bool value);
+
+  inline  ::uint64_t getSamplesNumber();
+  inline void setSamplesNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8265,6 +8417,118 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t InstanceReport::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceReport::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t InstanceReport::Reader::getBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceReport::Builder::getBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t InstanceReport::Reader::getRecordsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceReport::Builder::getRecordsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setRecordsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t InstanceReport::Reader::getSamplesNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceReport::Builder::getSamplesNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setSamplesNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t GroupSample::Reader::getIndex() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GroupSample::Builder::getIndex() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GroupSample::Builder::setIndex( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t GroupSample::Reader::getAgeUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GroupSample::Builder::getAgeUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GroupSample::Builder::setAgeUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GroupSample::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GroupSample::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GroupSample::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GroupSample::Reader::getLog() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GroupSample::Builder::getLog() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GroupSample::Builder::setLog( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GroupWord::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8594,6 +8858,82 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t ReportAnswer::Reader::getRecordsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReportAnswer::Builder::getRecordsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ReportAnswer::Builder::setRecordsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReportAnswer::Reader::hasSamples() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReportAnswer::Builder::hasSamples() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>::Reader ReportAnswer::Reader::getSamples() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>::Builder ReportAnswer::Builder::getSamples() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ReportAnswer::Builder::setSamples( ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>::Builder ReportAnswer::Builder::initSamples(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ReportAnswer::Builder::adoptSamples(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>> ReportAnswer::Builder::disownSamples() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::GroupSample,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ReportAnswer::Reader::getWantsCompleteReport() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool ReportAnswer::Builder::getWantsCompleteReport() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ReportAnswer::Builder::setWantsCompleteReport(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ReportAnswer::Reader::getSamplesNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReportAnswer::Builder::getSamplesNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void ReportAnswer::Builder::setSamplesNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/peer/peer_report_codec.cpp
+++ b/src/peer/peer_report_codec.cpp
@@ -1,11 +1,16 @@
 #include "peer_codec.h"
 
+#include <algorithm>
+
 namespace citronlug {
 
 namespace {
 
 constexpr auto never = std::int64_t{-1};
 
+/// An older position is no evidence for any read; its age is sent as this one.
+constexpr auto max_sample_age = duration{1h};
+
 auto encode_age(const std::optional<duration>& age) -> std::int64_t {
     return age ? age->count() : never;
 }
@@ -34,6 +39,10 @@
     to.setRun(report.run);
     to.setPeerAddress(report.peer_address);
     to.setLeaving(report.leaving);
+    to.setNumber(report.number);
+    to.setBase(report.base);
+    to.setRecordsVersion(report.records_version);
+    to.setSamplesNumber(report.samples_number);
     auto groups = to.initGroups(size_of(report.groups.size()));
     for (auto n = 0U; n < groups.size(); ++n) {
         const auto& from = report.groups[n];
@@ -59,6 +68,10 @@
     report.run = from.getRun();
     report.peer_address = std::string{from.getPeerAddress()};
     report.leaving = from.getLeaving();
+    report.number = from.getNumber();
+    report.base = from.getBase();
+    report.records_version = from.getRecordsVersion();
+    report.samples_number = from.getSamplesNumber();
     for (const auto it : from.getGroups()) {
         auto group = group_report{};
         group.group = group_id{std::string{it.getGroup()}};
@@ -84,6 +97,17 @@
     to.setServersVersion(answer.servers_version);
     to.setInstances(answer.instances);
     to.setRulesVersion(answer.rules_version);
+    to.setRecordsVersion(answer.records_version);
+    to.setWantsCompleteReport(answer.wants_complete_report);
+    to.setSamplesNumber(answer.samples_number);
+    auto samples = to.initSamples(size_of(answer.samples.size()));
+    for (auto n = 0U; n < samples.size(); ++n) {
+        const auto& from = answer.samples[n];
+        samples[n].setIndex(from.index);
+        samples[n].setAgeUs(static_cast<std::uint32_t>(std::clamp(from.age, duration{}, max_sample_age).count()));
+        samples[n].setTerm(from.at.term);
+        samples[n].setLog(from.at.log);
+    }
     auto groups = to.initGroups(size_of(answer.groups.size()));
     for (auto n = 0U; n < groups.size(); ++n) {
         const auto& from = answer.groups[n];
@@ -114,6 +138,12 @@
     answer.servers_version = from.getServersVersion();
     answer.instances = from.getInstances();
     answer.rules_version = from.getRulesVersion();
+    answer.records_version = from.getRecordsVersion();
+    answer.wants_complete_report = from.getWantsCompleteReport();
+    answer.samples_number = from.getSamplesNumber();
+    for (const auto it : from.getSamples()) {
+        answer.samples.push_back({it.getIndex(), {it.getTerm(), it.getLog()}, duration{it.getAgeUs()}});
+    }
     for (const auto it : from.getGroups()) {
         auto status = group_status{};
         status.group = group_id{std::string{it.getGroup()}};
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -76,6 +76,7 @@
     reading_primaries_ = reading_primaries_ && !coordinating;
     if (coordinating && !is_coordinating_) {
         token_allocator_.reset();
+        report_receiver_.reset();
         if (active_rules_) {
             token_allocator_.set_limits(now, *active_rules_);
         }
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -46,7 +46,7 @@
     report_pending_ = true;
     report_due_ = false;
     reported_at_ = now;
-    auto report = make_report(now, true);
+    const auto report = report_sender_.reduce(now, make_report(now, true));
     pending_token_requests_ = report.token_requests;
     metrics_.count("citronlug_reports_total");
     fleet_.report(lease->peer_address, report,
@@ -56,13 +56,13 @@
 }
 
 auto session_daemon::on_report_answer(std::uint64_t number, time_point asked_at,
-                                      const std::optional<report_answer>& answer) -> void {
+                                      const std::optional<report_answer>& received) -> void {
     const auto now = clock_now();
     if (number != report_number_ || !report_pending_) {
         return; // the report has timed out before
     }
     report_pending_ = false;
-    const auto reachable = answer && answer->is_coordinating;
+    const auto reachable = received && received->is_coordinating;
     if (reachable != coordinator_reachable_) {
         coordinator_reachable_ = reachable;
         update_store_watches();
@@ -71,27 +71,30 @@
             {{"dependency", "coordinator"}, {"holder", lease ? lease->holder.value : std::string{}}});
     }
     if (!reachable) {
+        report_sender_.on_failure();
         proxy_.limiter().on_request_failed(now, pending_token_requests_);
         proxy_.retry_admission(now);
         return;
     }
-    coordinator_.on_holder_answer(asked_at, answer->fencing_token, answer->renewals);
-    proxy_.limiter().on_responses(now, asked_at, answer->tokens);
-    proxy_.set_instances(now, answer->instances);
-    for (const auto& it : answer->groups) {
+    const auto answer = report_sender_.expand(*received);
+    report_due_ = report_due_ || answer.wants_complete_report;
+    coordinator_.on_holder_answer(asked_at, answer.fencing_token, answer.renewals);
+    proxy_.limiter().on_responses(now, asked_at, answer.tokens);
+    proxy_.set_instances(now, answer.instances);
+    for (const auto& it : answer.groups) {
         auto& known = reported_primaries_[it.group];
         if (it.record.generation >= known.record.generation) {
             known = {asked_at, it.record};
         }
     }
     if (!is_coordinating_) {
-        fetch_newer_servers(answer->servers_version, newest_lease()->peer_address);
+        fetch_newer_servers(answer.servers_version, newest_lease()->peer_address);
     }
-    if (active_rules_ && answer->rules_version > active_rules_->version) {
+    if (active_rules_ && answer.rules_version > active_rules_->version) {
         fetch_newer_rules(now, newest_lease()->peer_address);
     }
     apply_primaries(now);
-    for (const auto& it : answer->groups) {
+    for (const auto& it : answer.groups) {
         // Ignores positions of a primary that is known here to be replaced: they may be missing in the log of
         // the next primary.
         const auto record = coordinator_.record_of(it.group);
@@ -155,7 +158,11 @@
     if (!coordinator_.is_coordinating(now)) {
         return answer;
     }
-    coordinator_.on_report(now, report);
+    if (const auto complete = report_receiver_.complete(now, report)) {
+        coordinator_.on_report(now, *complete);
+    } else {
+        answer.wants_complete_report = true;
+    }
     instances_[report.instance] = report.peer_address;
     answer.is_coordinating = true;
     answer.fencing_token = coordinator_.lease()->fencing_token;
@@ -163,6 +170,7 @@
     answer.instances = static_cast<std::uint32_t>(instances_.size());
     answer.rules_version = active_rules_ ? active_rules_->version : 0;
     answer.servers_version = servers_version_;
+    auto groups = std::vector<group_status>{};
     for (const auto& [id, record] : coordinator_.records()) {
         auto status = group_status{};
         status.group = id;
@@ -171,8 +179,9 @@
             status.sample = sample->second;
             status.sample_age = now - sample->first;
         }
-        answer.groups.push_back(std::move(status));
+        groups.push_back(std::move(status));
     }
+    report_receiver_.add_groups(now, groups, random_number(), report, answer);
     for (const auto& it : report.token_requests) {
         answer.tokens.push_back(token_allocator_.take(now, report.instance, it));
     }
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -7,6 +7,7 @@
 #include "server_links.h"
 
 #include <citronlug/primary_coordinator.h>
+#include <citronlug/report_exchange.h>
 #include <citronlug/session_proxy.h>
 #include <citronlug/session_settings.h>
 #include <citronlug/store_mirror.h>
@@ -119,6 +120,8 @@
     session_proxy proxy_;
     primary_coordinator coordinator_;
     token_allocator token_allocator_;
+    report_sender report_sender_;
+    report_receiver report_receiver_;
     server_links links_;
     server_probes probes_;
     fleet_link fleet_;
