citronlugd: keep the other instances when one entry of the list cannot be read

Cause: store_client parsed the list of instances as one document and ignored the error, so one malformed entry, or an unreadable answer, was a valid empty list; the cell then plans without its other instances.

Change: the list is split into entries by json_text, which moves from platform/ to the library. An entry without a name or with an address that cannot be connected to is left out with a warning; a list that cannot be split counts as no answer.

--- a/src/citronlugd/store_client.cpp
+++ b/src/citronlugd/store_client.cpp
@@ -1,6 +1,8 @@
 #include "store_client.h"
 
-#include <QJsonArray>
+#include <citronlug/json_text.h>
+#include <citronlug/network_address.h>
+
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QNetworkReply>
@@ -112,13 +114,26 @@
             done(std::nullopt);
             return;
         }
+        const auto entries =
+            split_array(std::string_view{it.body.constData(), static_cast<std::size_t>(it.body.size())});
+        if (!entries) {
+            qWarning("the store's list of instances cannot be read");
+            done(std::nullopt);
+            return;
+        }
         auto list = std::vector<listed_instance>{};
-        const auto entries = QJsonDocument::fromJson(it.body).array();
-        for (const auto& entry : entries) {
-            const auto object = entry.toObject();
-            list.push_back({instance_id{string_at(object, "instance")}, cell_id{string_at(object, "cell")},
-                            string_at(object, "peer_address"), string_at(object, "admin_address"),
-                            failure_domain{string_at(object, "domain")}, object["leaving"].toBool()});
+        for (const auto entry : *entries) {
+            const auto object =
+                QJsonDocument::fromJson({entry.data(), static_cast<qsizetype>(entry.size())}).object();
+            auto listed = listed_instance{
+                instance_id{string_at(object, "instance")},  cell_id{string_at(object, "cell")},
+                string_at(object, "peer_address"),           string_at(object, "admin_address"),
+                failure_domain{string_at(object, "domain")}, object["leaving"].toBool()};
+            if (listed.instance.empty() || !is_connectable(listed.peer_address)) {
+                qWarning("an entry of the store's list of instances names no instance that can be reached");
+                continue;
+            }
+            list.push_back(std::move(listed));
         }
         done(std::move(list));
     });
--- a/platform/json_text.h
+++ b/src/include/citronlug/json_text.h
@@ -4,7 +4,7 @@
 #include <string_view>
 #include <vector>
 
-namespace citronlug::adapter {
+namespace citronlug {
 
 /// One field of a JSON object, as views into its text.
 struct json_field {
@@ -24,4 +24,4 @@
 [[nodiscard]] auto value_of_field(const std::vector<json_field>& fields, std::string_view name)
     -> std::string_view;
 
-} // namespace citronlug::adapter
+} // namespace citronlug
--- a/platform/json_text.cpp
+++ b/src/libcitronlug/json_text.cpp
@@ -1,8 +1,8 @@
-#include "json_text.h"
+#include <citronlug/json_text.h>
 
 #include <string>
 
-namespace citronlug::adapter {
+namespace citronlug {
 
 namespace {
 
@@ -43,7 +43,8 @@
         return true;
     }
 
-    /// Reads one value of any kind. Keeps the open brackets on the heap, so that no depth overflows the stack.
+    /// Reads one value of any kind. Keeps the open brackets on the heap, so that no depth overflows the
+    /// stack.
     auto read_value(std::string_view& value) -> bool {
         const auto start = at_;
         auto closers = std::string{};
@@ -158,4 +159,4 @@
     return value;
 }
 
-} // namespace citronlug::adapter
+} // namespace citronlug
--- a/platform/json_text_test.cpp
+++ b/src/libcitronlug/json_text_test.cpp
@@ -1,4 +1,4 @@
-#include "json_text.h"
+#include <citronlug/json_text.h>
 
 #include <rapidcheck.h>
 
@@ -10,15 +10,15 @@
 
 #include <CppUTest/TestHarness.h>
 
-using namespace citronlug::adapter;
+using namespace citronlug;
 
-TEST_GROUP(json_text) {
-    static auto value_in(const std::string& object, std::string_view name)->std::string {
-        const auto fields = split_object(object);
-        CHECK_TRUE(fields.has_value());
-        return std::string{value_of_field(*fields, name)};
-    }
-};
+TEST_GROUP(json_text){static auto value_in(const std::string& object, std::string_view name)
+                          ->std::string{const auto fields = split_object(object);
+CHECK_TRUE(fields.has_value());
+return std::string{value_of_field(*fields, name)};
+}
+}
+;
 
 TEST(json_text, splits_an_object_into_its_fields) {
     const auto text = std::string{R"( { "a" : 1 , "b":{"x":[1,"}"]},"c":"\"}" , "d":[] } )"};
@@ -53,8 +53,8 @@
     for (std::size_t n = 0; n < text.size(); ++n) {
         CHECK_FALSE(split_object(text.substr(0, n)).has_value());
     }
-    for (const auto* damaged : {"{} {}", "{}x", "{\"a\":}", "{\"a\" 1}", "{\"a\":1,}", "{a:1}", "[1}", "{\"a\":[}]}",
-                                "{\"a\":1]"}) {
+    for (const auto* damaged : {"{} {}", "{}x", "{\"a\":}", "{\"a\" 1}", "{\"a\":1,}", "{a:1}", "[1}",
+                                "{\"a\":[}]}", "{\"a\":1]"}) {
         CHECK_FALSE(split_object(damaged).has_value());
     }
     CHECK_FALSE(split_array("[1,]").has_value());
@@ -64,7 +64,8 @@
 // Guards against a split that disagrees with a parser, and against any access out of bounds.
 TEST(json_text, agrees_with_a_parser_on_valid_text_and_takes_any_other) {
     CHECK_TRUE(rc::check("damaged text", [] {
-        auto text = std::string{R"({"items":[{"meta":{"Name":"i-1","Revision":4},"spec":{"a":"x\\"}}],"n":-1.5e3})"};
+        auto text =
+            std::string{R"({"items":[{"meta":{"Name":"i-1","Revision":4},"spec":{"a":"x\\"}}],"n":-1.5e3})"};
         const auto changes = *rc::gen::inRange(0, 4);
         for (auto n = 0; n < changes; ++n) {
             const auto at = static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(text.size())));
