Make fewer calls to the store when the coordinator is away for a moment

Cause: an instance that lost the coordinator listed rules, servers and primaries at once and began a watch of each, and read the lease every 0.5 s. Each hand-over, each missed report and each start cost a fleet of 195 six to eleven calls an instance, although the coordinator or the next one answers within a fraction of a second. A restarted instance replaced its registration, which had not changed.

Change: resumed mirrors wait 0.4 (primaries), 0.7 (rules) and 1 s (servers); the first watch waits 0.5 s after its listing, except at the coordinator; large fleets read the lease every 1.5 s, spread; a record with the same address counts as registered; failed registrations back off.

--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -24,6 +24,10 @@
 /// instance would answer too late.
 [[nodiscard]] auto lease_acquisition_delay(double processor_share) -> duration;
 
+/// Interval between readings of the lease record by an instance that cannot reach the coordinator. In a large
+/// fleet other instances read it meanwhile, and the next coordinator announces itself to all.
+[[nodiscard]] auto lease_read_interval(std::uint32_t instances) -> duration;
+
 /// Lease of the coordinator, the one instance that changes primaries and accounts for rates. Kept in the
 /// platform's store.
 struct coordinator_lease {
@@ -107,7 +111,7 @@
     std::uint32_t instances = 1;       ///< number of registered instances
     std::uint64_t rules_version = 0;   ///< newest rules at the coordinator
     std::uint64_t servers_version = 0; ///< changes with the coordinator's list of servers
-    std::vector<group_status> groups; ///< empty if the instance has the records of `records_version`
+    std::vector<group_status> groups;  ///< empty if the instance has the records of `records_version`
     std::vector<token_response> tokens;
     std::uint64_t records_version = 0;  ///< names the state of all primary records
     std::uint64_t samples_number = 0;   ///< counts the positions received since `records_version` began
--- a/src/include/citronlug/store_mirror.h
+++ b/src/include/citronlug/store_mirror.h
@@ -88,10 +88,13 @@
     [[nodiscard]] auto confirmed_at() const -> std::optional<time_point> { return confirmed_at_; }
     [[nodiscard]] auto is_available() const -> bool { return failures_ == 0; }
     auto set_watch_wait(duration wait) -> void { watch_wait_ = wait; }
+    /// Delay between a listing and the first watch after it, in case the other source answers meanwhile.
+    auto set_first_watch_delay(duration delay) -> void { first_watch_delay_ = delay; }
     /// Pauses further calls while changes arrive from another source. The call in flight continues. Resuming
-    /// lists all records again.
-    auto set_paused(bool paused) -> void;
-    /// Abandons the watch in flight and lists all records again, because this copy may lack a change.
+    /// lists all records again, but not before `resume_at`.
+    auto set_paused(bool paused, time_point resume_at) -> void;
+    /// Abandons the watch in flight and lists all records again, at once, because this copy may lack a
+    /// change.
     auto list_again() -> void;
 
 private:
@@ -108,6 +111,8 @@
     time_point listing_asked_at_;
     std::optional<time_point> confirmed_at_;
     time_point not_before_;
+    time_point delayed_until_; ///< set when calls resume
+    duration first_watch_delay_{};
     std::uint32_t failures_ = 0;
 };
 
--- a/src/libcitronlug/coordination.cpp
+++ b/src/libcitronlug/coordination.cpp
@@ -16,6 +16,12 @@
 /// Delay of an instance with almost no processor time, so that a larger one acquires the lease first.
 constexpr auto max_acquisition_delay = duration{1s};
 
+/// A reading confirms the lease for 2 s, so the longest interval has to be shorter.
+constexpr auto min_lease_read_interval = duration{500ms};
+constexpr auto max_lease_read_interval = duration{1500ms};
+/// Size of a fleet in which each instance reads at the shortest interval.
+constexpr auto small_fleet = 64.0;
+
 auto to_qstring(const std::string& value) -> QString {
     return QString::fromStdString(value);
 }
@@ -41,6 +47,12 @@
     return std::chrono::duration_cast<duration>(max_acquisition_delay * lacking);
 }
 
+auto lease_read_interval(std::uint32_t instances) -> duration {
+    return std::clamp(
+        std::chrono::duration_cast<duration>(min_lease_read_interval * (instances / small_fleet)),
+        min_lease_read_interval, max_lease_read_interval);
+}
+
 auto newest_generations(const std::map<group_id, primary_record>& stored,
                         const std::map<group_id, primary_record>& reported)
     -> std::map<group_id, std::uint64_t> {
--- a/src/libcitronlug/primary_coordinator_test.cpp
+++ b/src/libcitronlug/primary_coordinator_test.cpp
@@ -441,3 +441,17 @@
     CHECK_FALSE(record().changing);
     CHECK_EQUAL(1U, record().generation);
 }
+
+TEST_GROUP(coordinator_lease_reading){};
+
+// Guards against lease readings that a fleet makes in proportion to its size, and against an interval in which
+// a reading no longer confirms the lease.
+TEST(coordinator_lease_reading, is_rarer_in_a_large_fleet_but_within_the_validity_of_a_reading) {
+    for (const auto n : {1U, 9U, 64U}) {
+        CHECK(lease_read_interval(n) == 500ms);
+    }
+    CHECK(lease_read_interval(128) == 1s);
+    for (const auto n : {192U, 2600U, 4'000'000'000U}) {
+        CHECK(lease_read_interval(n) == 1500ms);
+    }
+}
--- a/src/libcitronlug/report_exchange.cpp
+++ b/src/libcitronlug/report_exchange.cpp
@@ -25,9 +25,8 @@
 auto report_sender::has_changed(time_point now, const reported_group& before, const reported_group& after)
     -> bool {
     const auto has_newer_answer =
-        after.answered_at &&
-        (!before.answered_at || (*after.answered_at > *before.answered_at &&
-                                 now - *before.answered_at >= answer_refresh_interval));
+        after.answered_at && (!before.answered_at || (*after.answered_at > *before.answered_at &&
+                                                      now - *before.answered_at >= answer_refresh_interval));
     return has_newer_answer || after.released_generation != before.released_generation ||
            after.acknowledged != before.acknowledged || after.failed_at != before.failed_at ||
            after.rejected_as_replica != before.rejected_as_replica;
@@ -94,8 +93,7 @@
 auto report_receiver::complete(time_point now, const instance_report& report)
     -> std::optional<instance_report> {
     const auto it = reports_.find(report.instance);
-    const auto* known =
-        it != reports_.end() && it->second.report.run == report.run ? &it->second : nullptr;
+    const auto* known = it != reports_.end() && it->second.report.run == report.run ? &it->second : nullptr;
     if (known != nullptr && report.number != 0 && report.number <= known->report.number) {
         return std::nullopt;
     }
@@ -124,10 +122,11 @@
 auto report_receiver::add_groups(time_point now, const std::vector<group_status>& groups,
                                  std::uint64_t random_version, const instance_report& report,
                                  report_answer& answer) -> void {
-    const auto is_current = std::equal(groups.begin(), groups.end(), records_.begin(), records_.end(),
-                                       [](const group_status& status, const published_group& known) {
-                                           return status.group == known.group && status.record == known.record;
-                                       });
+    const auto is_current =
+        std::equal(groups.begin(), groups.end(), records_.begin(), records_.end(),
+                   [](const group_status& status, const published_group& known) {
+                       return status.group == known.group && status.record == known.record;
+                   });
     if (!is_current || records_version_ == 0) {
         records_version_ = random_version;
         samples_number_ = 0;
--- a/src/libcitronlug/report_exchange_test.cpp
+++ b/src/libcitronlug/report_exchange_test.cpp
@@ -86,7 +86,9 @@
         receiver.add_groups(now, published.statuses(now), ++next_version, report, answer);
         return answer;
     }
-    auto send()->instance_report { return sender.reduce(now, instance.report(now)); }
+    auto send()->instance_report {
+        return sender.reduce(now, instance.report(now));
+    }
     /// Sends a report and passes the answer back; returns both as sent.
     auto exchange()->std::pair<instance_report, report_answer> {
         const auto report = send();
@@ -143,7 +145,8 @@
     CHECK_EQUAL(0U, exchange().second.groups.size());
 }
 
-// Guards against a coordinator that takes a partial report for a complete one, or builds it on another report.
+// Guards against a coordinator that takes a partial report for a complete one, or builds it on another
+// report.
 TEST(report_exchange, asks_for_a_complete_report_when_it_lacks_the_one_before) {
     exchange();
     receiver.reset(); // another instance coordinates
@@ -228,7 +231,8 @@
                 group.rejected = !group.rejected;
                 break;
             case 5:
-                public_state.records[id] = {server_id{"s"}, 1, static_cast<std::uint64_t>(n) + 1, n % 2 == 0, {}};
+                public_state.records[id] = {
+                    server_id{"s"}, 1, static_cast<std::uint64_t>(n) + 1, n % 2 == 0, {}};
                 break;
             default:
                 public_state.samples[id] = {at, {1, static_cast<std::uint64_t>(n)}};
@@ -264,8 +268,9 @@
             if (merged) {
                 RC_ASSERT(merged->groups.size() == complete.groups.size());
                 for (const auto& it : complete.groups) {
-                    const auto known = std::find_if(merged->groups.begin(), merged->groups.end(),
-                                                    [&](const auto& other) { return other.group == it.group; });
+                    const auto known =
+                        std::find_if(merged->groups.begin(), merged->groups.end(),
+                                     [&](const auto& other) { return other.group == it.group; });
                     RC_ASSERT(known != merged->groups.end());
                     RC_ASSERT(known->released_generation == it.released_generation);
                     RC_ASSERT(known->acknowledged == it.acknowledged);
--- a/src/libcitronlug/store_mirror.cpp
+++ b/src/libcitronlug/store_mirror.cpp
@@ -16,7 +16,7 @@
     : watch_wait_{watch_wait} {}
 
 auto store_mirror::next_call(time_point now) -> std::optional<mirror_call> {
-    if (call_pending_ || now < not_before_ || (paused_ && confirmed_at_)) {
+    if (call_pending_ || now < std::max(not_before_, delayed_until_) || (paused_ && confirmed_at_)) {
         return std::nullopt;
     }
     call_pending_ = true;
@@ -32,9 +32,10 @@
     return mirror_call{call_number_, false, list_cursor_, 0, {}};
 }
 
-auto store_mirror::set_paused(bool paused) -> void {
+auto store_mirror::set_paused(bool paused, time_point resume_at) -> void {
     if (paused_ && !paused) {
         list_again();
+        delayed_until_ = resume_at;
     }
     if (paused && confirmed_at_) {
         failures_ = 0; // while paused, no call would show that the store is available again
@@ -43,6 +44,7 @@
 }
 
 auto store_mirror::list_again() -> void {
+    delayed_until_ = {};
     if (revision_) {
         revision_.reset();
         list_cursor_.clear();
@@ -119,6 +121,7 @@
     }
     records_ = std::move(listing_);
     listing_.clear();
+    not_before_ = now + first_watch_delay_;
     revision_ = listing_revision_;
     confirmed_at_ = listing_asked_at_;
     return changes;
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -55,6 +55,37 @@
     CHECK_EQUAL(15U, mirror.next_call(now)->revision);
 }
 
+// Guards against a paid listing and watch by each instance whenever the coordinator is away for a moment.
+TEST(store_mirror, makes_no_call_if_the_other_source_returns_in_time) {
+    const auto watch = mirror.next_call(now);
+    static_cast<void>(mirror.on_answer(now, watch->number, answer_of({}, 11)));
+    mirror.set_paused(true, now);
+    mirror.set_paused(false, now + 400ms);
+    now += 399ms;
+    CHECK_FALSE(mirror.next_call(now).has_value());
+    mirror.set_paused(true, now);
+    now += 1s;
+    CHECK_FALSE(mirror.next_call(now).has_value());
+    mirror.set_paused(false, now + 400ms);
+    now += 400ms;
+    const auto list = mirror.next_call(now);
+    CHECK_FALSE(list->is_watch);
+    mirror.set_first_watch_delay(500ms);
+    static_cast<void>(mirror.on_answer(now, list->number, answer_of({{"a", "1", 7}}, 30)));
+    now += 499ms;
+    CHECK_FALSE(mirror.next_call(now).has_value());
+    now += 1ms;
+    CHECK_TRUE(mirror.next_call(now)->is_watch);
+}
+
+// Guards against a new coordinator that waits before it reads what it needs.
+TEST(store_mirror, lists_again_without_the_delay_of_a_resumed_mirror) {
+    mirror.set_paused(true, now);
+    mirror.set_paused(false, now + 400ms);
+    mirror.list_again();
+    CHECK_TRUE(mirror.next_call(now).has_value());
+}
+
 // Guards against a stale copy after the store dropped its history or a watch failed.
 TEST(store_mirror, lists_again_after_lost_history_and_after_a_failure) {
     for (const auto outcome : {store_outcome::gone, store_outcome::unanswered, store_outcome::refused}) {
@@ -134,6 +165,6 @@
 TEST(store_mirror, resets_failures_when_it_is_paused) {
     const auto call = mirror.next_call(now);
     static_cast<void>(mirror.on_answer(now, call->number, failed(store_outcome::refused)));
-    mirror.set_paused(true);
+    mirror.set_paused(true, now);
     CHECK_TRUE(mirror.is_available());
 }
--- a/src/peer/peer_report_codec.cpp
+++ b/src/peer/peer_report_codec.cpp
@@ -104,7 +104,8 @@
     for (auto n = 0U; n < samples.size(); ++n) {
         const auto& from = answer.samples[n];
         samples[n].setIndex(from.index);
-        samples[n].setAgeUs(static_cast<std::uint32_t>(std::clamp(from.age, duration{}, max_sample_age).count()));
+        samples[n].setAgeUs(
+            static_cast<std::uint32_t>(std::clamp(from.age, duration{}, max_sample_age).count()));
         samples[n].setTerm(from.at.term);
         samples[n].setLog(from.at.log);
     }
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -27,8 +27,14 @@
 
 constexpr auto primaries_watch_fallback = duration{900ms};
 
-/// Interval between readings of the lease record while the coordinator is unreachable.
-constexpr auto lease_read_interval = duration{500ms};
+/// Delays of calls to the store after the coordinator became unreachable: it, or the next one, often answers
+/// within them. Permissions need the primaries within 2 s of the coordinator's last answer.
+constexpr auto primaries_resume_delay = duration{400ms};
+constexpr auto rules_resume_delay = duration{700ms};
+constexpr auto servers_resume_delay = duration{1s};
+
+/// Delay of the first watch after a listing, while this instance does not coordinate.
+constexpr auto follower_watch_delay = duration{500ms};
 
 constexpr auto report_interval = duration{250ms};
 
@@ -40,11 +46,19 @@
 /// rewritten a record that expired during an outage of the store.
 constexpr auto departed_server_retention = duration{2200ms};
 
+/// Pause after a failed registration; doubles up to the maximum.
 constexpr auto registration_retry = duration{300ms};
+constexpr auto max_registration_retry = duration{2400ms};
 
 /// Rejected records that are remembered, so that each is logged once.
 constexpr auto max_rejected_records = std::size_t{1000};
 
+/// Address in the record of an instance; empty if there is none.
+auto peer_address_in(const store_record& record) -> std::string {
+    const auto value = QJsonDocument::fromJson(QByteArray::fromStdString(record.value)).object();
+    return value["peer_address"].toString().toStdString();
+}
+
 } // namespace
 
 auto session_daemon::on_tick() -> void {
@@ -182,7 +196,7 @@
 }
 
 auto session_daemon::read_lease(time_point now) -> void {
-    const auto paused = reading_lease_ || now - lease_read_at_ < lease_read_interval;
+    const auto paused = reading_lease_ || now < next_lease_read_at_;
     const auto wanted =
         (!coordinator_reachable_ || coordinator_.needs_lease_record()) && is_store_available();
     if (leaving_ || !(lease_read_due_ || (wanted && !paused))) {
@@ -190,7 +204,7 @@
     }
     lease_read_due_ = false;
     reading_lease_ = true;
-    lease_read_at_ = now;
+    next_lease_read_at_ = now + lease_read_interval(fleet_size_);
     metrics_.count("citronlug_store_calls_total", {{"kind", "duty"}, {"call", "list"}});
     platform_.store.list(record_kind::lease, {}, [this, now](const store_answer& answer) {
         reading_lease_ = false;
@@ -207,9 +221,13 @@
 auto session_daemon::update_store_watches() -> void {
     // While the coordinator is reachable, only the coordinator watches the store; the other instances learn
     // of all changes from its answers.
+    const auto now = clock_now();
     const auto follows = coordinator_reachable_ && !is_coordinating_;
-    for (auto* it : {&rules_, &servers_, &primaries_}) {
-        it->mirror.set_paused(follows);
+    for (const auto& [it, delay] :
+         {std::pair{&rules_, rules_resume_delay}, std::pair{&servers_, servers_resume_delay},
+          std::pair{&primaries_, primaries_resume_delay}}) {
+        it->mirror.set_paused(follows, is_coordinating_ ? now : now + delay);
+        it->mirror.set_first_watch_delay(is_coordinating_ ? duration{} : follower_watch_delay);
     }
     rules_.mirror.set_watch_wait(is_coordinating_ ? rules_watch_coordinator : rules_watch_fallback);
     primaries_.mirror.set_watch_wait(is_coordinating_ ? primaries_watch_coordinator
@@ -375,15 +393,20 @@
         record_kind::instances, record, registration_revision_, [this](const store_answer& answer) {
             const auto answered_at = clock_now();
             registering_ = false;
-            register_at_ = answered_at + registration_retry;
-            if (answer.outcome == store_outcome::ok) {
+            // The record of an earlier run of this instance, or of this run if the first answer was lost, is
+            // as good if it names the same address.
+            const auto has_record = answer.outcome == store_outcome::conflict && !answer.records.empty() &&
+                                    peer_address_in(answer.records.front()) == settings_.peer_address;
+            if (answer.outcome == store_outcome::ok || has_record) {
                 registered_ = true;
                 registration_revision_ = answer.revision;
             } else if (answer.outcome == store_outcome::conflict) {
-                // The record of an earlier run of this instance, or of this run if the first answer was lost.
                 registration_revision_ = answer.revision;
                 register_at_ = answered_at;
             } else {
+                registration_pause_ =
+                    std::clamp(registration_pause_ * 2, registration_retry, max_registration_retry);
+                register_at_ = answered_at + registration_pause_;
                 log(log_level::warning, log_event::dependency_lost,
                     {{"dependency", "store"}, {"kind", "instances"}, {"why", answer.problem}});
             }
@@ -398,8 +421,7 @@
             return; // repeated while it is needed
         }
         for (const auto& it : answer.records) {
-            const auto value = QJsonDocument::fromJson(QByteArray::fromStdString(it.value)).object();
-            auto address = value["peer_address"].toString().toStdString();
+            auto address = peer_address_in(it);
             if (!is_connectable(address)) {
                 log_rejected(record_kind::instances, it, "the peer address is not an IP address with a port");
                 continue;
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -66,6 +66,11 @@
     if (reachable != coordinator_reachable_) {
         coordinator_reachable_ = reachable;
         update_store_watches();
+        // Spread over the interval, so that some instance of a large fleet reads the lease soon.
+        const auto spread =
+            static_cast<std::uint64_t>((lease_read_interval(fleet_size_) - lease_read_interval(1)) / 1us);
+        next_lease_read_at_ =
+            now + duration{spread == 0 ? 0 : static_cast<std::int64_t>(random_number() % spread)};
         const auto lease = newest_lease();
         log(log_level::info, reachable ? log_event::dependency_regained : log_event::dependency_lost,
             {{"dependency", "coordinator"}, {"holder", lease ? lease->holder.value : std::string{}}});
@@ -81,6 +86,7 @@
     coordinator_.on_holder_answer(asked_at, answer.fencing_token, answer.renewals);
     proxy_.limiter().on_responses(now, asked_at, answer.tokens);
     proxy_.set_instances(now, answer.instances);
+    fleet_size_ = answer.instances;
     for (const auto& it : answer.groups) {
         auto& known = reported_primaries_[it.group];
         if (it.record.generation >= known.record.generation) {
--- a/src/sessiond/platform.h
+++ b/src/sessiond/platform.h
@@ -91,7 +91,8 @@
     virtual auto list(record_kind kind, const std::string& after, answer_handler done) -> void = 0;
     virtual auto watch(record_kind kind, std::uint64_t after, duration wait, answer_handler done) -> void = 0;
     /// Creates the record if `expected_revision` is 0, otherwise replaces the record of that revision.
-    /// `store_answer::revision` is the record's.
+    /// The answer holds the record as it is in the store then, also after a conflict; `revision` is the
+    /// record's.
     virtual auto write(record_kind kind, const store_record& record, std::uint64_t expected_revision,
                        answer_handler done) -> void = 0;
     virtual auto set_address(const std::string& address) -> void = 0;
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -146,7 +146,8 @@
     bool lease_read_due_ = false; ///< the lease was handed over to this instance
     bool reading_lease_ = false;
     bool reading_primaries_ = false; ///< after the lease was acquired
-    time_point lease_read_at_;
+    time_point next_lease_read_at_;
+    std::uint32_t fleet_size_ = 1; ///< number of registered instances, as last reported by the coordinator
     std::shared_ptr<const desired_state> active_rules_;
     std::map<server_id, backend_server> registered_servers_;
     std::map<server_id, departed_server> departed_servers_;
@@ -159,6 +160,7 @@
     bool registered_ = false;
     bool registering_ = false;
     time_point register_at_;
+    duration registration_pause_{};
     std::uint64_t registration_revision_ = 0;
 
     struct reported_primary {
