Hand the coordinator lease over to the instance with the most processor time

Cause: a leaving coordinator handed the lease to the first instance by name that had reported.

Change: reports carry the processor share and the time since the start; the lease goes to the largest share, among equals to the latest start, which a restart of the fleet in turn has passed already.

Test: coordinator_lease_ownership, is_handed_over_to_a_large_instance_that_started_lately.

--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -87,6 +87,8 @@
     std::uint64_t base = 0;
     std::uint64_t records_version = 0; ///< of the primary records that the instance has; 0: none
     std::uint64_t samples_number = 0;  ///< of the positions that it has; see `report_answer`
+    double processor_share = 0;        ///< cores that the instance may use; 0: unknown
+    duration running_for{};            ///< since its start
 };
 
 /// State of one group as the coordinator reports it.
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -153,17 +153,32 @@
 
     [[nodiscard]] auto needs_lease_record() const -> bool { return !lease_ || lease_write_uncertain_; }
 
+    /// The instance that the lease is handed over to: the one with the most processor time, because all
+    /// instances connect to the next coordinator at once; among equals the one that started last, because a
+    /// restart of the whole fleet in turn has passed it already. Null if no instance reported recently.
+    [[nodiscard]] auto choose_heir(time_point now) const -> const instance_report* {
+        const instance_report* best = nullptr;
+        for (const auto& [name, it] : reports_) {
+            const auto& [at, report] = it;
+            if (name == self_ || report.leaving || now - at >= report_validity) {
+                continue;
+            }
+            if (best == nullptr || report.processor_share > best->processor_share ||
+                (report.processor_share == best->processor_share && report.running_for < best->running_for)) {
+                best = &report;
+            }
+        }
+        return best;
+    }
+
     auto leave(time_point now) -> std::vector<coordinator_action> {
         auto actions = std::vector<coordinator_action>{};
         if (lease_ && lease_->holder == self_ && lease_->run == run_ && !has_left_) {
             auto next = *lease_;
             next.holder = {};
-            for (const auto& [name, it] : reports_) {
-                if (name != self_ && now - it.first < report_validity && !it.second.leaving) {
-                    next = {name, it.second.run,          lease_->fencing_token + 1,
-                            0,    it.second.peer_address, lease_->peer_secret};
-                    break;
-                }
+            if (const auto* heir = choose_heir(now)) {
+                next = {heir->instance,     heir->run,          lease_->fencing_token + 1, 0,
+                        heir->peer_address, lease_->peer_secret};
             }
             actions.emplace_back(write_record{coordinator_lease_name, to_text(next), lease_revision_});
         }
--- a/src/libcitronlug/primary_coordinator_test.cpp
+++ b/src/libcitronlug/primary_coordinator_test.cpp
@@ -442,10 +442,32 @@
     CHECK_EQUAL(1U, record().generation);
 }
 
+// Guards against a hand-over to an instance that cannot answer a large fleet, or that is the next to be
+// stopped: each change of coordinator refuses callers.
+TEST(coordinator_lease_ownership, is_handed_over_to_a_large_instance_that_started_lately) {
+    running["b"] = false;
+    run_for(1s);
+    const auto report = [&](const std::string& name, double share, duration running_for, bool leaving) {
+        auto it = instance_report{instance_id{name}, 9, "addr-" + name, leaving, {}, {}};
+        it.processor_share = share;
+        it.running_for = running_for;
+        coordinators["a"]->on_report(now, it);
+    };
+    report("c", 0.12, 1s, false);
+    report("d", 0.5, 60s, false);
+    report("e", 0.5, 5s, false);
+    report("f", 0.5, 1s, true);
+    const auto actions = coordinators["a"]->leave(now);
+    CHECK_EQUAL(1U, actions.size());
+    const auto next = parse_coordinator_lease(std::get<write_record>(actions.front()).value);
+    CHECK_EQUAL(std::string{"e"}, next->holder.value);
+    CHECK_EQUAL(std::string{"addr-e"}, next->peer_address);
+}
+
 TEST_GROUP(coordinator_lease_reading){};
 
-// Guards against lease readings that a fleet makes in proportion to its size, and against an interval in which
-// a reading no longer confirms the lease.
+// Guards against lease readings that a fleet makes in proportion to its size, and against an interval in
+// which a reading no longer confirms the lease.
 TEST(coordinator_lease_reading, is_rarer_in_a_large_fleet_but_within_the_validity_of_a_reading) {
     for (const auto n : {1U, 9U, 64U}) {
         CHECK(lease_read_interval(n) == 500ms);
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -168,6 +168,8 @@
   base @7 :UInt64; # the report that this one builds on; 0: complete
   recordsVersion @8 :UInt64; # of the records that the instance has; 0: none
   samplesNumber @9 :UInt64; # of the positions that the instance has
+  processorShare @10 :Float32;
+  runningForMs @11 :UInt32;
 }
 
 # Newest position of a primary, by its group's place in the records of the answer's version.
--- a/src/peer/peer.capnp.h
+++ b/src/peer/peer.capnp.h
@@ -338,7 +338,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a877fb9ff9642259, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a877fb9ff9642259, 7, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2789,6 +2789,10 @@
 
   inline  ::uint64_t getSamplesNumber() const;
 
+  inline float getProcessorShare() const;
+
+  inline  ::uint32_t getRunningForMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2863,6 +2867,12 @@
   inline  ::uint64_t getSamplesNumber();
   inline void setSamplesNumber( ::uint64_t value);
 
+  inline float getProcessorShare();
+  inline void setProcessorShare(float value);
+
+  inline  ::uint32_t getRunningForMs();
+  inline void setRunningForMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8473,6 +8483,34 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline float InstanceReport::Reader::getProcessorShare() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float InstanceReport::Builder::getProcessorShare() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setProcessorShare(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t InstanceReport::Reader::getRunningForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t InstanceReport::Builder::getRunningForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setRunningForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t GroupSample::Reader::getIndex() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/peer/peer_report_codec.cpp
+++ b/src/peer/peer_report_codec.cpp
@@ -11,6 +11,9 @@
 /// An older position is no evidence for any read; its age is sent as this one.
 constexpr auto max_sample_age = duration{1h};
 
+/// A longer time is sent as this one.
+constexpr auto max_running_time = duration{24h};
+
 auto encode_age(const std::optional<duration>& age) -> std::int64_t {
     return age ? age->count() : never;
 }
@@ -43,6 +46,9 @@
     to.setBase(report.base);
     to.setRecordsVersion(report.records_version);
     to.setSamplesNumber(report.samples_number);
+    to.setProcessorShare(static_cast<float>(report.processor_share));
+    to.setRunningForMs(
+        static_cast<std::uint32_t>(std::clamp(report.running_for, duration{}, max_running_time) / 1ms));
     auto groups = to.initGroups(size_of(report.groups.size()));
     for (auto n = 0U; n < groups.size(); ++n) {
         const auto& from = report.groups[n];
@@ -72,6 +78,8 @@
     report.base = from.getBase();
     report.records_version = from.getRecordsVersion();
     report.samples_number = from.getSamplesNumber();
+    report.processor_share = from.getProcessorShare();
+    report.running_for = std::chrono::milliseconds{from.getRunningForMs()};
     for (const auto it : from.getGroups()) {
         auto group = group_report{};
         group.group = group_id{std::string{it.getGroup()}};
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -13,6 +13,8 @@
 
 auto session_daemon::make_report(time_point now, bool with_token_requests) -> instance_report {
     auto report = instance_report{settings_.instance, run_, settings_.peer_address, leaving_, {}, {}};
+    report.processor_share = settings_.processor_share;
+    report.running_for = now - started_at_;
     auto reported = std::map<group_id, primary_record>{};
     for (const auto& [id, it] : reported_primaries_) {
         reported.emplace(id, it.record);
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -48,6 +48,7 @@
     : settings_{std::move(settings)}
     , platform_{on}
     , run_{random_number()}
+    , started_at_{clock_now()}
     , log_{settings_.instance, settings_.log_lines_per_s, metrics_, 1}
     , proxy_{settings_.domain, *this, metrics_}
     , coordinator_{settings_.instance,
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -115,6 +115,7 @@
     session_settings settings_;
     platform& platform_;
     incarnation run_;
+    time_point started_at_;
     metrics metrics_;
     log_writer log_;
     session_proxy proxy_;
