Fetch the first rules from the coordinator

Cause: an instance asked the coordinator for rules only if it had some already.

Change: no rules count as version 0.

Test: the soak writes the first rules 3 s after the instances start, and each has to be ready 3 s later.

--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -98,7 +98,7 @@
     if (!is_coordinating_) {
         fetch_newer_servers(answer.servers_version, newest_lease()->peer_address);
     }
-    if (active_rules_ && answer.rules_version > active_rules_->version) {
+    if (answer.rules_version > active_rules_version()) {
         fetch_newer_rules(now, newest_lease()->peer_address);
     }
     apply_primaries(now);
@@ -119,6 +119,10 @@
     }
 }
 
+auto session_daemon::active_rules_version() const -> std::uint64_t {
+    return active_rules_ ? active_rules_->version : 0;
+}
+
 auto session_daemon::newest_lease() const -> std::optional<coordinator_lease> {
     const auto& stored = coordinator_.lease();
     return announced_lease_ && (!stored || announced_lease_->fencing_token > stored->fencing_token)
@@ -152,7 +156,7 @@
         return;
     }
     fetching_rules_ = true;
-    fleet_.fetch_rules(address, active_rules_->version, [this](const fleet_link::record_text& rules) {
+    fleet_.fetch_rules(address, active_rules_version(), [this](const fleet_link::record_text& rules) {
         fetching_rules_ = false;
         if (rules.version > 0) {
             apply_rules(clock_now(), rules.value);
@@ -176,7 +180,7 @@
     answer.fencing_token = coordinator_.lease()->fencing_token;
     answer.renewals = coordinator_.lease()->renewals;
     answer.instances = static_cast<std::uint32_t>(instances_.size());
-    answer.rules_version = active_rules_ ? active_rules_->version : 0;
+    answer.rules_version = active_rules_version();
     answer.servers_version = servers_version_;
     auto groups = std::vector<group_status>{};
     for (const auto& [id, record] : coordinator_.records()) {
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -102,6 +102,8 @@
     auto announce_to_all(const coordinator_lease& lease) -> void;
     /// The newest lease record known from the store or an announcement.
     [[nodiscard]] auto newest_lease() const -> std::optional<coordinator_lease>;
+    /// 0 if there are no rules yet.
+    [[nodiscard]] auto active_rules_version() const -> std::uint64_t;
     /// Fetches rules that are newer than this instance's from the coordinator.
     auto fetch_newer_rules(time_point now, const std::string& address) -> void;
 
