--- a/src/include/citronlug/json_text.h
+++ b/src/include/citronlug/json_text.h
@@ -13,8 +13,8 @@
 };
 
 /// Splits a JSON object into its fields without parsing their values: a value may nest to any depth, hold a
-/// number of any size and bytes that are no valid text. Only quotes and brackets must match, so one value that
-/// a parser rejects leaves the others readable. Empty if `text` is not one complete object.
+/// number of any size and bytes that are no valid text. Only quotes and brackets must match, so one value
+/// that a parser rejects leaves the others readable. Empty if `text` is not one complete object.
 [[nodiscard]] auto split_object(std::string_view text) -> std::optional<std::vector<json_field>>;
 
 /// Splits a JSON array into its unparsed elements, as `split_object` does.
--- a/src/libcitronlug/network_address_test.cpp
+++ b/src/libcitronlug/network_address_test.cpp
@@ -14,9 +14,9 @@
 
 // Guards against a port out of range that is taken for another port.
 TEST(network_address, rejects_what_is_no_address) {
-    for (const auto* text : {"", ":", "10.0.0.9", "10.0.0.9:", "10.0.0.9:65536", "10.0.0.9:-1", "10.0.0.9:+80",
-                             "10.0.0.9: 80", "10.0.0.9:80x", "10.0.0.9:99999999999999999999", "10.0.0.300:80",
-                             "db.example:80", "[10.0.0.9]:80", "::1:80"}) {
+    for (const auto* text : {"", ":", "10.0.0.9", "10.0.0.9:", "10.0.0.9:65536", "10.0.0.9:-1",
+                             "10.0.0.9:+80", "10.0.0.9: 80", "10.0.0.9:80x", "10.0.0.9:99999999999999999999",
+                             "10.0.0.300:80", "db.example:80", "[10.0.0.9]:80", "::1:80"}) {
         CHECK_FALSE(parse_network_address(text).has_value());
     }
 }
