--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -28,6 +28,11 @@
 /// fleet other instances read it meanwhile, and the next coordinator announces itself to all.
 [[nodiscard]] auto lease_read_interval(std::uint32_t instances) -> duration;
 
+/// The coordinator's word that there are no newer rules counts for this time. Then an instance asks the store
+/// itself: the coordinator may be cut off from it, and a withdrawn key must stop working all the same. Longer
+/// than the wait of the coordinator's watch.
+inline constexpr duration rules_evidence_lifetime = 1800ms;
+
 /// Lease of the coordinator, the one instance that changes primaries and accounts for rates. Kept in the
 /// platform's store.
 struct coordinator_lease {
@@ -112,6 +117,7 @@
     std::uint64_t renewals = 0;        ///< of the lease, confirmed by the store
     std::uint32_t instances = 1;       ///< number of registered instances
     std::uint64_t rules_version = 0;   ///< newest rules at the coordinator
+    std::optional<duration> rules_age; ///< since the store was asked for newer rules and had none
     std::uint64_t servers_version = 0; ///< changes with the coordinator's list of servers
     std::vector<group_status> groups;  ///< empty if the instance has the records of `records_version`
     std::vector<token_response> tokens;
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -204,6 +204,7 @@
   samples @9 :List(GroupSample);
   wantsCompleteReport @10 :Bool;
   samplesNumber @11 :UInt64; # counts the positions received since recordsVersion began
+  rulesAgeUs @12 :Int64 = -1; # since the store was asked for newer rules and had none; -1: unknown
 }
 
 # Interface of a connection that is not authenticated yet.
--- a/src/peer/peer.capnp.h
+++ b/src/peer/peer.capnp.h
@@ -383,7 +383,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c60cb8a5ba5ec98c, 7, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c60cb8a5ba5ec98c, 8, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3161,6 +3161,8 @@
 
   inline  ::uint64_t getSamplesNumber() const;
 
+  inline  ::int64_t getRulesAgeUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3237,6 +3239,9 @@
   inline  ::uint64_t getSamplesNumber();
   inline void setSamplesNumber( ::uint64_t value);
 
+  inline  ::int64_t getRulesAgeUs();
+  inline void setRulesAgeUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8972,6 +8977,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t ReportAnswer::Reader::getRulesAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t ReportAnswer::Builder::getRulesAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void ReportAnswer::Builder::setRulesAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/peer/peer_report_codec.cpp
+++ b/src/peer/peer_report_codec.cpp
@@ -105,6 +105,7 @@
     to.setServersVersion(answer.servers_version);
     to.setInstances(answer.instances);
     to.setRulesVersion(answer.rules_version);
+    to.setRulesAgeUs(encode_age(answer.rules_age));
     to.setRecordsVersion(answer.records_version);
     to.setWantsCompleteReport(answer.wants_complete_report);
     to.setSamplesNumber(answer.samples_number);
@@ -147,6 +148,7 @@
     answer.servers_version = from.getServersVersion();
     answer.instances = from.getInstances();
     answer.rules_version = from.getRulesVersion();
+    answer.rules_age = decode_age(from.getRulesAgeUs());
     answer.records_version = from.getRecordsVersion();
     answer.wants_complete_report = from.getWantsCompleteReport();
     answer.samples_number = from.getSamplesNumber();
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -30,7 +30,6 @@
 /// Delays of calls to the store after the coordinator became unreachable: it, or the next one, often answers
 /// within them. Permissions need the primaries within 2 s of the coordinator's last answer.
 constexpr auto primaries_resume_delay = duration{400ms};
-constexpr auto rules_resume_delay = duration{700ms};
 constexpr auto servers_resume_delay = duration{1s};
 
 /// Delay of the first watch after a listing, while this instance does not coordinate.
@@ -98,7 +97,11 @@
     }
     if (is_coordinating_ != coordinating) {
         is_coordinating_ = coordinating;
-        update_store_watches();
+        update_store_watches(now);
+        if (coordinating) {
+            rules_.mirror.list_again();
+            servers_.mirror.list_again();
+        }
     }
     if (coordinating) {
         token_allocator_.set_reachable(now, coordinator_.recent_reporters(now));
@@ -112,6 +115,7 @@
     if (now - reported_at_ >= report_interval || report_due_) {
         send_report(now);
     }
+    update_store_watches(now);
     if (leaving_) {
         finish_leaving(now);
     }
@@ -218,24 +222,20 @@
     });
 }
 
-auto session_daemon::update_store_watches() -> void {
+auto session_daemon::update_store_watches(time_point now) -> void {
     // While the coordinator is reachable, only the coordinator watches the store; the other instances learn
     // of all changes from its answers.
-    const auto now = clock_now();
     const auto follows = coordinator_reachable_ && !is_coordinating_;
-    for (const auto& [it, delay] :
-         {std::pair{&rules_, rules_resume_delay}, std::pair{&servers_, servers_resume_delay},
-          std::pair{&primaries_, primaries_resume_delay}}) {
-        it->mirror.set_paused(follows, is_coordinating_ ? now : now + delay);
+    const auto rules_due_at = rules_evidence_at_ + rules_evidence_lifetime;
+    rules_.mirror.set_paused(follows && now < rules_due_at, is_coordinating_ ? now : rules_due_at);
+    servers_.mirror.set_paused(follows, is_coordinating_ ? now : now + servers_resume_delay);
+    primaries_.mirror.set_paused(follows, is_coordinating_ ? now : now + primaries_resume_delay);
+    for (auto* it : {&rules_, &servers_, &primaries_}) {
         it->mirror.set_first_watch_delay(is_coordinating_ ? duration{} : follower_watch_delay);
     }
     rules_.mirror.set_watch_wait(is_coordinating_ ? rules_watch_coordinator : rules_watch_fallback);
     primaries_.mirror.set_watch_wait(is_coordinating_ ? primaries_watch_coordinator
                                                       : primaries_watch_fallback);
-    if (is_coordinating_) {
-        rules_.mirror.list_again();
-        servers_.mirror.list_again();
-    }
 }
 
 auto session_daemon::apply_rules(time_point now, const std::string& value) -> void {
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -67,7 +67,7 @@
     const auto reachable = received && received->is_coordinating;
     if (reachable != coordinator_reachable_) {
         coordinator_reachable_ = reachable;
-        update_store_watches();
+        update_store_watches(now);
         // Spread over the interval, so that some instance of a large fleet reads the lease soon.
         const auto spread =
             static_cast<std::uint64_t>((lease_read_interval(fleet_size_) - lease_read_interval(1)) / 1us);
@@ -89,6 +89,9 @@
     proxy_.limiter().on_responses(now, asked_at, answer.tokens);
     proxy_.set_instances(now, answer.instances);
     fleet_size_ = answer.instances;
+    if (answer.rules_age) {
+        rules_evidence_at_ = std::max(rules_evidence_at_, asked_at - *answer.rules_age);
+    }
     for (const auto& it : answer.groups) {
         auto& known = reported_primaries_[it.group];
         if (it.record.generation >= known.record.generation) {
@@ -181,6 +184,9 @@
     answer.renewals = coordinator_.lease()->renewals;
     answer.instances = static_cast<std::uint32_t>(instances_.size());
     answer.rules_version = active_rules_version();
+    if (const auto confirmed = rules_.mirror.confirmed_at()) {
+        answer.rules_age = now - *confirmed;
+    }
     answer.servers_version = servers_version_;
     auto groups = std::vector<group_status>{};
     for (const auto& [id, record] : coordinator_.records()) {
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -102,7 +102,7 @@
         return fmt::format("cannot listen on {} for readiness checks and {} for metrics",
                            settings_.ready_address, settings_.metrics_address);
     }
-    update_store_watches();
+    update_store_watches(clock_now());
     QObject::connect(&timer_, &QTimer::timeout, this, [this] { on_tick(); });
     timer_.start(tick_interval_ms);
     log(log_level::info, log_event::process_started,
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -79,8 +79,9 @@
     /// Reads the lease record while the coordinator is unreachable. The record is not watched because each
     /// renewal would wake every instance.
     auto read_lease(time_point now) -> void;
-    /// Watches the store only while this instance coordinates or the coordinator is unreachable.
-    auto update_store_watches() -> void;
+    /// Watches the store only while this instance coordinates or the coordinator is unreachable; the rules
+    /// also while the coordinator cannot tell whether there are newer ones.
+    auto update_store_watches(time_point now) -> void;
     auto apply_rules(time_point now, const std::string& value) -> void;
     /// Replaces the registered servers by those that `records` describes. Records that describe none are
     /// logged once and not passed on to other instances.
@@ -175,6 +176,7 @@
     std::optional<coordinator_lease> announced_lease_;
     time_point announced_at_;
     bool fetching_rules_ = false;
+    time_point rules_evidence_at_; ///< by the coordinator's word there were no newer rules than its own
     bool is_coordinating_ = false;
     std::uint64_t report_number_ = 0; ///< number of the last report
     bool report_pending_ = false;     ///< the last report has no answer yet
