--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -175,14 +175,18 @@
 }
 
 auto free_port() -> std::uint16_t {
-    static auto used = std::set<std::uint16_t>{};
+    // Below the range from which the system takes the ports of outgoing connections.
+    constexpr auto first = 20000;
+    constexpr auto count = 12000;
+    static auto next = static_cast<int>(getpid()) * 24 % count;
     while (true) {
+        next = (next + 1) % count;
+        const auto port = static_cast<std::uint16_t>(first + next);
         const auto fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const auto to = loopback(0);
-        bind(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to);
-        const auto port = port_of(fd);
+        const auto to = loopback(port);
+        const auto is_free = bind(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0;
         close(fd);
-        if (used.insert(port).second) {
+        if (is_free) {
             return port;
         }
     }
@@ -1031,7 +1035,13 @@
             return true;
         }
     }
-    std::puts("the instances are not ready after 15 s");
+    for (const auto& it : instances) {
+        if (!it->is_ready()) {
+            const auto log = read_file(env().temporary + "/" + it->name() + ".log");
+            std::printf("%s is not ready after 15 s; its log ends with: %s\n", it->name().c_str(),
+                        log.substr(log.size() - std::min<std::size_t>(log.size(), 300)).c_str());
+        }
+    }
     return false;
 }
 
