--- a/src/cmake/citronlug_targets.cmake
+++ b/src/cmake/citronlug_targets.cmake
@@ -8,6 +8,22 @@
   set_property(GLOBAL APPEND PROPERTY CITRONLUG_PLUGINS ${name})
 endfunction()
 
+# citronlug_add_subject(NAME): adds the library citronlug_NAME of the *.cpp files in the current directory, which holds the
+# decision logic of one subject, and a test program for each *_test.cpp. The kernel links it.
+function(citronlug_add_subject name)
+  file(GLOB sources CONFIGURE_DEPENDS "*.cpp")
+  list(FILTER sources EXCLUDE REGEX "_test\\.cpp$")
+  add_library(citronlug_${name} STATIC ${sources})
+  target_link_libraries(citronlug_${name} PUBLIC citronlug_kernel PRIVATE citronlug_warnings)
+  target_link_libraries(citronlug_kernel PUBLIC citronlug_${name})
+  file(GLOB tests CONFIGURE_DEPENDS "*_test.cpp")
+  foreach(source IN LISTS tests)
+    get_filename_component(test "${source}" NAME_WE)
+    citronlug_add_test(${test} "${source}" LIBRARIES citronlug_kernel)
+    set_property(GLOBAL APPEND PROPERTY CITRONLUG_KERNEL_TESTS ${test})
+  endforeach()
+endfunction()
+
 # citronlug_add_test(NAME SOURCES... [LIBRARIES ...]): adds a CppUTest program with the main() of tests_main.cpp.
 # Without CITRONLUG_BUILD_TESTS it does nothing, so that the test libraries need not be installed.
 function(citronlug_add_test name)
--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -79,6 +79,22 @@
     bool rejected_as_replica = false;      ///< the primary rejected a write as a replica
 };
 
+/// Primary record of a group as an instance knows it.
+struct known_record {
+    group_id group;
+    primary_record record;
+};
+
+/// Request for tokens of a cold server, one for each message that it would have to process.
+struct cold_request {
+    server_id server;
+    std::uint32_t wanted = 0;
+};
+struct cold_grant {
+    server_id server;
+    std::uint32_t tokens = 0;
+};
+
 /// Sent periodically by each instance to the coordinator.
 struct instance_report {
     instance_id instance;
@@ -94,6 +110,9 @@
     std::uint64_t samples_number = 0;  ///< of the positions that it has; see `report_answer`
     double processor_share = 0;        ///< cores that the instance may use; 0: unknown
     duration running_for{};            ///< since its start
+    std::vector<cold_request> cold_requests;
+    std::vector<known_record> known_records; ///< if the last answer asked for them
+    std::uint64_t highest_fencing_token = 0; ///< of any coordinator that the instance has heard of
 };
 
 /// State of one group as the coordinator reports it.
@@ -121,10 +140,16 @@
     std::uint64_t servers_version = 0; ///< changes with the coordinator's list of servers
     std::vector<group_status> groups;  ///< empty if the instance has the records of `records_version`
     std::vector<token_response> tokens;
-    std::uint64_t records_version = 0;  ///< names the state of all primary records
-    std::uint64_t samples_number = 0;   ///< counts the positions received since `records_version` began
-    std::vector<group_sample> samples;  ///< newer ones than the instance has, if `groups` is empty
-    bool wants_complete_report = false; ///< the report builds on one that the coordinator does not have
+    std::uint64_t records_version = 0;     ///< names the state of all primary records
+    std::uint64_t samples_number = 0;      ///< counts the positions received since `records_version` began
+    std::vector<group_sample> samples;     ///< newer ones than the instance has, if `groups` is empty
+    bool wants_complete_report = false;    ///< the report builds on one that the coordinator does not have
+    std::vector<failure_domain> evacuated; ///< failure domains that operators evacuate
+    /// Since the store was asked for `evacuated`; empty: the coordinator does not know them.
+    std::optional<duration> evacuations_age;
+    std::vector<cold_grant> cold_grants;
+    bool wants_records = false;  ///< the next report is to carry the instance's primary records
+    std::uint64_t store_era = 0; ///< highest one that the coordinator has seen; 0: none
 };
 
 /// The newest generation of each group, from the records read from the store and those reported by the
--- a/src/include/citronlug/desired_state.h
+++ b/src/include/citronlug/desired_state.h
@@ -33,10 +33,11 @@
     consistency kind = consistency::primary;
     /// Zero: no bound besides the session's own writes; with `bounded_staleness`, no staleness is accepted.
     duration max_age{};
-    duration statement_timeout{}; ///< of a single statement
-    duration latency_target{};    ///< of a whole operation
-    int priority = 0;             ///< 0 is the highest
-    bool open_to_all = false;     ///< no API key is required
+    duration statement_timeout{};   ///< of a single statement
+    duration latency_target{};      ///< of a whole operation
+    int priority = 0;               ///< 0 is the highest
+    bool open_to_all = false;       ///< no API key is required
+    std::uint32_t max_attempts = 0; ///< sendings after which a statement may have run; 0: not configured
 };
 
 /// Group of backend servers as configured by the operators.
@@ -44,11 +45,14 @@
     group_id id;
     std::uint32_t server_connections = 1;   ///< connections that one server accepts in total
     std::uint32_t synchronous_replicas = 0; ///< replicas that receive a commit before it is acknowledged
+    duration cold_start{};                  ///< time for which a server is slow after its start; zero: none
+    double cold_per_s = 0; ///< requests per second to a cold server, of all instances; 0: unlimited
 };
 
 struct session_account {
     account_id id;
     rate_limit limit; ///< rate 0: unlimited
+    int priority = 0; ///< among accounts that compete for the same servers; 0 is the highest
 };
 
 /// One version of the operators' rules, indexed for look-ups on each request.
@@ -83,6 +87,7 @@
     bool reports_primary = false; ///< the server's own view; only the primary record is authoritative
     std::uint32_t slots = 1;      ///< statements that the server runs concurrently
     std::int64_t started_ms = 0;  ///< process start, Unix time; detects a restart under the same id
+    duration cold_remaining{};    ///< how much longer it stays slow after its start, as of its entry
 
     auto operator==(const backend_server&) const -> bool = default;
 };
--- a/src/include/citronlug/log_events.h
+++ b/src/include/citronlug/log_events.h
@@ -36,19 +36,25 @@
     server_unusable,
     lines_dropped,
     record_rejected,
+    evacuation_changed,
+    server_cold,
+    server_limit_changed,
+    store_restored,
+    caller_refused,
 };
 
 template <>
 struct name_table<log_event> {
-    static constexpr std::array<std::string_view, 30> names{
-        "process-started",  "process-stopping",    "process-stopped",   "settings-reloaded",
-        "dependency-lost",  "dependency-regained", "rules-applied",     "servers-changed",
-        "primary-recorded", "permit-lost",         "permit-regained",   "change-started",
-        "change-released",  "change-waiting",      "change-ordered",    "change-finished",
-        "change-abandoned", "duty-taken",          "duty-lost",         "request-served",
-        "request-slow",     "request-retried",     "request-refused",   "request-failed",
-        "request-in-doubt", "session-rejected",    "transaction-ended", "server-unusable",
-        "lines-dropped",    "record-rejected"};
+    static constexpr std::array<std::string_view, 35> names{
+        "process-started",      "process-stopping",    "process-stopped",    "settings-reloaded",
+        "dependency-lost",      "dependency-regained", "rules-applied",      "servers-changed",
+        "primary-recorded",     "permit-lost",         "permit-regained",    "change-started",
+        "change-released",      "change-waiting",      "change-ordered",     "change-finished",
+        "change-abandoned",     "duty-taken",          "duty-lost",          "request-served",
+        "request-slow",         "request-retried",     "request-refused",    "request-failed",
+        "request-in-doubt",     "session-rejected",    "transaction-ended",  "server-unusable",
+        "lines-dropped",        "record-rejected",     "evacuation-changed", "server-cold",
+        "server-limit-changed", "store-restored",      "caller-refused"};
 };
 
 } // namespace citronlug
--- a/src/include/citronlug/session_settings.h
+++ b/src/include/citronlug/session_settings.h
@@ -4,12 +4,26 @@
 #include <citronlug/types.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 namespace citronlug {
 
+/// Whether the load that a backend server takes well is learned from its answers, instead of taken from its
+/// number of slots.
+enum class server_limit_mode {
+    automatic, ///< in groups in which several servers can run the same statement
+    on,
+    off,
+};
+
+template <>
+struct name_table<server_limit_mode> {
+    static constexpr std::array<std::string_view, 3> names{"auto", "on", "off"};
+};
+
 /// Settings of one session instance.
 struct session_settings {
     instance_id instance;
@@ -27,6 +41,12 @@
     duration limit_window = 5s; ///< window over which the operations of a client account are counted
     int max_callers = 3000;     ///< open connections of callers; further ones are closed at once
     int log_lines_per_s = 100;  ///< limit for lines about single requests; state changes are always logged
+    /// Nothing reaches a server of an evacuated failure domain later than this after the store acknowledged
+    /// the evacuation; empty: evacuations are not read.
+    std::optional<duration> evacuation_limit;
+    std::optional<std::uint64_t> memory_mb; ///< of the machine; a process that exceeds it is killed
+    std::optional<int> descriptors;         ///< that the process may open
+    server_limit_mode server_limits = server_limit_mode::automatic;
 
     auto operator==(const session_settings&) const -> bool = default;
 };
--- a/src/include/citronlug/store_mirror.h
+++ b/src/include/citronlug/store_mirror.h
@@ -12,17 +12,18 @@
 
 /// Kinds of records in the platform's store.
 enum class record_kind {
-    rules,     ///< the operators' rules, one record
-    servers,   ///< registered backend servers
-    primaries, ///< the primary of each group; written by the coordinator
-    lease,     ///< the coordinator lease, one record; written by instances
-    instances, ///< running instances; each writes its own record
+    rules,       ///< the operators' rules, one record
+    servers,     ///< registered backend servers
+    primaries,   ///< the primary of each group; written by the coordinator
+    lease,       ///< the coordinator lease, one record; written by instances
+    instances,   ///< running instances; each writes its own record
+    evacuations, ///< failure domains that operators evacuate; the name of a record is the domain
 };
 
 template <>
 struct name_table<record_kind> {
-    static constexpr std::array<std::string_view, 5> names{"rules", "servers", "primaries", "duty",
-                                                           "instances"};
+    static constexpr std::array<std::string_view, 6> names{"rules", "servers",   "primaries",
+                                                           "duty",  "instances", "evacuations"};
 };
 
 struct store_record {
@@ -53,6 +54,9 @@
     std::uint64_t revision = 0;           ///< of the store
     std::uint32_t unreadable_records = 0; ///< entries left out because they have no readable name
     std::string problem;                  ///< description of a failure, for the log
+    /// Number of the store's history, which rises when the store comes back from an older copy. 0: not
+    /// stated.
+    std::uint64_t era = 0;
 };
 
 /// A store call that a mirror requests.
--- a/src/libcitronlug/session_settings.cpp
+++ b/src/libcitronlug/session_settings.cpp
@@ -37,6 +37,16 @@
     settings.max_callers = static_cast<int>(reader.number("callers", settings.max_callers, 1, 1'000'000));
     settings.log_lines_per_s =
         static_cast<int>(reader.number("log_lines_per_s", settings.log_lines_per_s, 0, 100'000));
+    settings.evacuation_limit = reader.optional_milliseconds("evacuation_limit_ms", 500, 600'000);
+    if (const auto it = reader.optional_number("memory_mb", 16, 1'048'576)) {
+        settings.memory_mb = static_cast<std::uint64_t>(*it);
+    }
+    if (const auto it = reader.optional_number("descriptors", 128, 10'000'000)) {
+        settings.descriptors = static_cast<int>(*it);
+    }
+    settings.server_limits =
+        value_of<server_limit_mode>(reader.one_of("server_limits", {"auto", "on", "off"}, "auto"))
+            .value_or(server_limit_mode::automatic);
     reader.reject_unknown_fields();
     if (!errors.empty()) {
         return errors;
--- a/src/libcitronlug/settings_reader.h
+++ b/src/libcitronlug/settings_reader.h
@@ -109,6 +109,21 @@
         return std::chrono::milliseconds{number(field, fallback / 1ms, min_value, max_value)};
     }
 
+    /// Empty if the field is absent or not valid.
+    auto optional_number(const std::string& field, std::int64_t min_value, std::int64_t max_value)
+        -> std::optional<std::int64_t> {
+        const auto known_errors = errors_.size();
+        const auto found = number(field, min_value, min_value, max_value);
+        const auto is_given = object_.contains(QString::fromStdString(field));
+        return is_given && errors_.size() == known_errors ? std::optional{found} : std::nullopt;
+    }
+
+    auto optional_milliseconds(const std::string& field, std::int64_t min_value, std::int64_t max_value)
+        -> std::optional<duration> {
+        const auto found = optional_number(field, min_value, max_value);
+        return found ? std::optional<duration>{std::chrono::milliseconds{*found}} : std::nullopt;
+    }
+
     auto object(const std::string& field) -> object_reader {
         const auto value = read_value(field);
         if (!value.isUndefined() && !value.isObject()) {
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -165,6 +165,21 @@
   share @3 :Float32;
 }
 
+struct KnownRecord {
+  group @0 :Text;
+  primary @1 :Text;
+  term @2 :UInt64;
+  generation @3 :UInt64;
+  changing @4 :Bool;
+  candidate @5 :Text;
+}
+
+# Tokens of a cold server: wanted in a report, granted in an answer.
+struct ColdTokens {
+  server @0 :Text;
+  tokens @1 :UInt32;
+}
+
 struct InstanceReport {
   instance @0 :Text;
   run @1 :UInt64;
@@ -178,6 +193,9 @@
   samplesNumber @9 :UInt64; # of the positions that the instance has
   processorShare @10 :Float32;
   runningForMs @11 :UInt32;
+  coldRequests @12 :List(ColdTokens);
+  knownRecords @13 :List(KnownRecord);
+  highestToken @14 :UInt64; # fencing token of any coordinator that the instance has heard of
 }
 
 # Newest position of a primary, by its group's place in the records of the answer's version.
@@ -213,6 +231,11 @@
   wantsCompleteReport @10 :Bool;
   samplesNumber @11 :UInt64; # counts the positions received since recordsVersion began
   rulesAgeUs @12 :Int64 = -1; # since the store was asked for newer rules and had none; -1: unknown
+  evacuated @13 :List(Text); # failure domains
+  evacuationsAgeUs @14 :Int64 = -1; # since the store was asked for them; -1: unknown
+  coldGrants @15 :List(ColdTokens);
+  wantsRecords @16 :Bool;
+  storeEra @17 :UInt64;
 }
 
 # Interface of a connection that is not authenticated yet.
--- a/src/peer/peer.capnp.h
+++ b/src/peer/peer.capnp.h
@@ -36,6 +36,8 @@
 CAPNP_DECLARE_SCHEMA(e657277cd7b25bc3);
 CAPNP_DECLARE_SCHEMA(dbf9b83d6064ea30);
 CAPNP_DECLARE_SCHEMA(8de0051ae6cf2245);
+CAPNP_DECLARE_SCHEMA(ad37465199d1f1b6);
+CAPNP_DECLARE_SCHEMA(88a29c0ddcfc2f39);
 CAPNP_DECLARE_SCHEMA(a877fb9ff9642259);
 CAPNP_DECLARE_SCHEMA(a9a8f22398ad2dfd);
 CAPNP_DECLARE_SCHEMA(d607e7ee910a54ad);
@@ -346,6 +348,36 @@
   };
 };
 
+struct KnownRecord {
+  KnownRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ad37465199d1f1b6, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ColdTokens {
+  ColdTokens() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(88a29c0ddcfc2f39, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct InstanceReport {
   InstanceReport() = delete;
 
@@ -354,7 +386,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a877fb9ff9642259, 7, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a877fb9ff9642259, 8, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -399,7 +431,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c60cb8a5ba5ec98c, 8, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c60cb8a5ba5ec98c, 10, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2860,6 +2892,208 @@
 };
 #endif  // !CAPNP_LITE
 
+class KnownRecord::Reader {
+public:
+  typedef KnownRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline bool hasPrimary() const;
+  inline  ::capnp::Text::Reader getPrimary() const;
+
+  inline  ::uint64_t getTerm() const;
+
+  inline  ::uint64_t getGeneration() const;
+
+  inline bool getChanging() const;
+
+  inline bool hasCandidate() const;
+  inline  ::capnp::Text::Reader getCandidate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class KnownRecord::Builder {
+public:
+  typedef KnownRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline bool hasPrimary();
+  inline  ::capnp::Text::Builder getPrimary();
+  inline void setPrimary( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrimary(unsigned int size);
+  inline void adoptPrimary(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrimary();
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
+  inline bool getChanging();
+  inline void setChanging(bool value);
+
+  inline bool hasCandidate();
+  inline  ::capnp::Text::Builder getCandidate();
+  inline void setCandidate( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCandidate(unsigned int size);
+  inline void adoptCandidate(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCandidate();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class KnownRecord::Pipeline {
+public:
+  typedef KnownRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ColdTokens::Reader {
+public:
+  typedef ColdTokens Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::uint32_t getTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ColdTokens::Builder {
+public:
+  typedef ColdTokens Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ColdTokens::Pipeline {
+public:
+  typedef ColdTokens Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class InstanceReport::Reader {
 public:
   typedef InstanceReport Reads;
@@ -2905,6 +3139,14 @@
 
   inline  ::uint32_t getRunningForMs() const;
 
+  inline bool hasColdRequests() const;
+  inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Reader getColdRequests() const;
+
+  inline bool hasKnownRecords() const;
+  inline  ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>::Reader getKnownRecords() const;
+
+  inline  ::uint64_t getHighestToken() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2985,6 +3227,23 @@
   inline  ::uint32_t getRunningForMs();
   inline void setRunningForMs( ::uint32_t value);
 
+  inline bool hasColdRequests();
+  inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Builder getColdRequests();
+  inline void setColdRequests( ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Builder initColdRequests(unsigned int size);
+  inline void adoptColdRequests(::capnp::Orphan< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>> disownColdRequests();
+
+  inline bool hasKnownRecords();
+  inline  ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>::Builder getKnownRecords();
+  inline void setKnownRecords( ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>::Builder initKnownRecords(unsigned int size);
+  inline void adoptKnownRecords(::capnp::Orphan< ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>> disownKnownRecords();
+
+  inline  ::uint64_t getHighestToken();
+  inline void setHighestToken( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3275,6 +3534,18 @@
 
   inline  ::int64_t getRulesAgeUs() const;
 
+  inline bool hasEvacuated() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuated() const;
+
+  inline  ::int64_t getEvacuationsAgeUs() const;
+
+  inline bool hasColdGrants() const;
+  inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Reader getColdGrants() const;
+
+  inline bool getWantsRecords() const;
+
+  inline  ::uint64_t getStoreEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3354,6 +3625,30 @@
   inline  ::int64_t getRulesAgeUs();
   inline void setRulesAgeUs( ::int64_t value);
 
+  inline bool hasEvacuated();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuated();
+  inline void setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuated(unsigned int size);
+  inline void adoptEvacuated(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuated();
+
+  inline  ::int64_t getEvacuationsAgeUs();
+  inline void setEvacuationsAgeUs( ::int64_t value);
+
+  inline bool hasColdGrants();
+  inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Builder getColdGrants();
+  inline void setColdGrants( ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Builder initColdGrants(unsigned int size);
+  inline void adoptColdGrants(::capnp::Orphan< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>> disownColdGrants();
+
+  inline bool getWantsRecords();
+  inline void setWantsRecords(bool value);
+
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8456,6 +8751,198 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool KnownRecord::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KnownRecord::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KnownRecord::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KnownRecord::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KnownRecord::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KnownRecord::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void KnownRecord::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KnownRecord::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool KnownRecord::Reader::hasPrimary() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool KnownRecord::Builder::hasPrimary() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KnownRecord::Reader::getPrimary() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KnownRecord::Builder::getPrimary() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void KnownRecord::Builder::setPrimary( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KnownRecord::Builder::initPrimary(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void KnownRecord::Builder::adoptPrimary(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KnownRecord::Builder::disownPrimary() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t KnownRecord::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KnownRecord::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void KnownRecord::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t KnownRecord::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KnownRecord::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void KnownRecord::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KnownRecord::Reader::getChanging() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool KnownRecord::Builder::getChanging() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void KnownRecord::Builder::setChanging(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KnownRecord::Reader::hasCandidate() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool KnownRecord::Builder::hasCandidate() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KnownRecord::Reader::getCandidate() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KnownRecord::Builder::getCandidate() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void KnownRecord::Builder::setCandidate( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KnownRecord::Builder::initCandidate(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void KnownRecord::Builder::adoptCandidate(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KnownRecord::Builder::disownCandidate() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ColdTokens::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ColdTokens::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ColdTokens::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ColdTokens::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ColdTokens::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ColdTokens::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ColdTokens::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ColdTokens::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ColdTokens::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ColdTokens::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ColdTokens::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool InstanceReport::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8704,6 +9191,88 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool InstanceReport::Reader::hasColdRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceReport::Builder::hasColdRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Reader InstanceReport::Reader::getColdRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Builder InstanceReport::Builder::getColdRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void InstanceReport::Builder::setColdRequests( ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Builder InstanceReport::Builder::initColdRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void InstanceReport::Builder::adoptColdRequests(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>> InstanceReport::Builder::disownColdRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool InstanceReport::Reader::hasKnownRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceReport::Builder::hasKnownRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>::Reader InstanceReport::Reader::getKnownRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>::Builder InstanceReport::Builder::getKnownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void InstanceReport::Builder::setKnownRecords( ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>::Builder InstanceReport::Builder::initKnownRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void InstanceReport::Builder::adoptKnownRecords(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>> InstanceReport::Builder::disownKnownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::KnownRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t InstanceReport::Reader::getHighestToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceReport::Builder::getHighestToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setHighestToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t GroupSample::Reader::getIndex() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -9179,6 +9748,120 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline bool ReportAnswer::Reader::hasEvacuated() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReportAnswer::Builder::hasEvacuated() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ReportAnswer::Reader::getEvacuated() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReportAnswer::Builder::getEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ReportAnswer::Builder::setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void ReportAnswer::Builder::setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReportAnswer::Builder::initEvacuated(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ReportAnswer::Builder::adoptEvacuated(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ReportAnswer::Builder::disownEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ReportAnswer::Reader::getEvacuationsAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t ReportAnswer::Builder::getEvacuationsAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void ReportAnswer::Builder::setEvacuationsAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool ReportAnswer::Reader::hasColdGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReportAnswer::Builder::hasColdGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Reader ReportAnswer::Reader::getColdGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Builder ReportAnswer::Builder::getColdGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ReportAnswer::Builder::setColdGrants( ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>::Builder ReportAnswer::Builder::initColdGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ReportAnswer::Builder::adoptColdGrants(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>> ReportAnswer::Builder::disownColdGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::ColdTokens,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool ReportAnswer::Reader::getWantsRecords() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline bool ReportAnswer::Builder::getWantsRecords() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ReportAnswer::Builder::setWantsRecords(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ReportAnswer::Reader::getStoreEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReportAnswer::Builder::getStoreEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void ReportAnswer::Builder::setStoreEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/peer/peer_report_codec.cpp
+++ b/src/peer/peer_report_codec.cpp
@@ -36,6 +36,25 @@
     return static_cast<unsigned>(n);
 }
 
+/// Encodes requests for tokens of cold servers, or grants of them; `tokens` is the member with their number.
+template <class Entry>
+auto encode(const std::vector<Entry>& from, std::uint32_t Entry::*tokens,
+            capnp::List<wire::ColdTokens>::Builder to) -> void {
+    for (auto n = 0U; n < to.size(); ++n) {
+        to[n].setServer(from[n].server.value);
+        to[n].setTokens(from[n].*tokens);
+    }
+}
+
+template <class Entry>
+auto decode_cold_tokens(capnp::List<wire::ColdTokens>::Reader from) -> std::vector<Entry> {
+    auto found = std::vector<Entry>{};
+    for (const auto it : from) {
+        found.push_back({server_id{std::string{it.getServer()}}, it.getTokens()});
+    }
+    return found;
+}
+
 } // namespace
 
 auto encode(const instance_report& report, wire::InstanceReport::Builder to) -> void {
@@ -50,6 +69,19 @@
     to.setProcessorShare(static_cast<float>(report.processor_share));
     to.setRunningForMs(
         static_cast<std::uint32_t>(std::clamp(report.running_for, duration{}, max_running_time) / 1ms));
+    encode(report.cold_requests, &cold_request::wanted,
+           to.initColdRequests(size_of(report.cold_requests.size())));
+    to.setHighestToken(report.highest_fencing_token);
+    auto records = to.initKnownRecords(size_of(report.known_records.size()));
+    for (auto n = 0U; n < records.size(); ++n) {
+        const auto& [group, record] = report.known_records[n];
+        records[n].setGroup(group.value);
+        records[n].setPrimary(record.primary.value);
+        records[n].setTerm(record.term);
+        records[n].setGeneration(record.generation);
+        records[n].setChanging(record.changing);
+        records[n].setCandidate(record.candidate.value);
+    }
     auto groups = to.initGroups(size_of(report.groups.size()));
     for (auto n = 0U; n < groups.size(); ++n) {
         const auto& from = report.groups[n];
@@ -89,6 +121,14 @@
     report.samples_number = from.getSamplesNumber();
     report.processor_share = from.getProcessorShare();
     report.running_for = std::chrono::milliseconds{from.getRunningForMs()};
+    report.cold_requests = decode_cold_tokens<cold_request>(from.getColdRequests());
+    report.highest_fencing_token = from.getHighestToken();
+    for (const auto it : from.getKnownRecords()) {
+        report.known_records.push_back(
+            {group_id{std::string{it.getGroup()}},
+             {server_id{std::string{it.getPrimary()}}, it.getTerm(), it.getGeneration(), it.getChanging(),
+              server_id{std::string{it.getCandidate()}}}});
+    }
     for (const auto it : from.getGroups()) {
         auto group = group_report{};
         group.group = group_id{std::string{it.getGroup()}};
@@ -123,6 +163,14 @@
     to.setRecordsVersion(answer.records_version);
     to.setWantsCompleteReport(answer.wants_complete_report);
     to.setSamplesNumber(answer.samples_number);
+    auto evacuated = to.initEvacuated(size_of(answer.evacuated.size()));
+    for (auto n = 0U; n < evacuated.size(); ++n) {
+        evacuated.set(n, answer.evacuated[n].value);
+    }
+    to.setEvacuationsAgeUs(encode_age(answer.evacuations_age));
+    encode(answer.cold_grants, &cold_grant::tokens, to.initColdGrants(size_of(answer.cold_grants.size())));
+    to.setWantsRecords(answer.wants_records);
+    to.setStoreEra(answer.store_era);
     auto samples = to.initSamples(size_of(answer.samples.size()));
     for (auto n = 0U; n < samples.size(); ++n) {
         const auto& from = answer.samples[n];
@@ -166,6 +214,13 @@
     answer.records_version = from.getRecordsVersion();
     answer.wants_complete_report = from.getWantsCompleteReport();
     answer.samples_number = from.getSamplesNumber();
+    for (const auto it : from.getEvacuated()) {
+        answer.evacuated.push_back(failure_domain{std::string{it}});
+    }
+    answer.evacuations_age = decode_age(from.getEvacuationsAgeUs());
+    answer.cold_grants = decode_cold_tokens<cold_grant>(from.getColdGrants());
+    answer.wants_records = from.getWantsRecords();
+    answer.store_era = from.getStoreEra();
     for (const auto it : from.getSamples()) {
         answer.samples.push_back({it.getIndex(), {it.getTerm(), it.getLog()}, duration{it.getAgeUs()}});
     }
