--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -29,9 +29,15 @@
 [[nodiscard]] auto lease_read_interval(std::uint32_t instances) -> duration;
 
 /// The coordinator's word that there are no newer rules counts for this time. Then an instance asks the store
-/// itself: the coordinator may be cut off from it, and a withdrawn key must stop working all the same. Longer
-/// than the wait of the coordinator's watch.
+/// itself: the coordinator may be cut off from it, and a withdrawn key must stop working all the same.
 inline constexpr duration rules_evidence_lifetime = 1800ms;
+/// Longest wait of the coordinator's watch of the rules at the store. A watch without events confirms the rules
+/// as of when it was sent, so shortly before its answer the evidence is twice as old as this wait. Twice the
+/// wait, a report interval and the calls' own times have to stay below `rules_evidence_lifetime`; otherwise
+/// each instance lists the rules at the store by itself once in each watch.
+inline constexpr duration rules_watch_wait = 600ms;
+/// Interval of reports to the coordinator.
+inline constexpr duration report_interval = 250ms;
 
 /// Lease of the coordinator, the one instance that changes primaries and accounts for rates. Kept in the
 /// platform's store.
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -1,3 +1,4 @@
+#include <citronlug/coordination.h>
 #include <citronlug/store_mirror.h>
 
 #include <CppUTest/TestHarness.h>
@@ -46,6 +47,24 @@
     CHECK_EQUAL(16U, mirror.next_call(now)->revision);
 }
 
+// Guards against instances that list the rules by themselves although the coordinator watches them without a
+// fault: with a wait of 1,200 ms its evidence was up to 2,400 ms old, more than they accept.
+TEST(store_mirror, keeps_the_evidence_of_the_rules_young_enough_while_nothing_changes) {
+    constexpr auto round_trip = 50ms;
+    auto watched = store_mirror{rules_watch_wait};
+    auto at = now;
+    const auto listing = watched.next_call(at);
+    CHECK_TRUE(watched.on_answer(at, listing->number, answer_of({}, 10)).size() == 0);
+    for (auto n = 0; n < 20; ++n) {
+        const auto watch = watched.next_call(at);
+        CHECK_TRUE(watch && watch->is_watch);
+        at += watch->wait + round_trip;
+        const auto age_at_instances = at - *watched.confirmed_at() + report_interval + round_trip;
+        CHECK_TRUE(age_at_instances < rules_evidence_lifetime);
+        CHECK_TRUE(watched.on_answer(at, watch->number, answer_of({}, 10)).empty());
+    }
+}
+
 // Guards against watching again and again, without a pause, for a change that cannot be read.
 TEST(store_mirror, goes_on_after_a_change_that_cannot_be_read) {
     const auto first = mirror.next_call(now);
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -16,11 +16,6 @@
 /// Maximum wait of the coordinator's watch of the primaries, which only the coordinator writes.
 constexpr auto primaries_watch_coordinator = duration{8s};
 
-/// Maximum wait of the coordinator's watch of the rules. All other instances learn of new rules from the
-/// coordinator, so it must detect a change soon, even if the store drops its history and leaves watches
-/// unanswered.
-constexpr auto rules_watch_coordinator = duration{1200ms};
-
 /// Maximum waits while the coordinator is unreachable. Answers to watches of the primaries then renew the
 /// permissions.
 constexpr auto rules_watch_fallback = duration{1900ms};
@@ -35,8 +30,6 @@
 /// Delay of the first watch after a listing, while this instance does not coordinate.
 constexpr auto follower_watch_delay = duration{500ms};
 
-constexpr auto report_interval = duration{250ms};
-
 /// A report without an answer by then has failed. The coordinator answers immediately, but its process may
 /// have to wait for its share of a core.
 constexpr auto report_timeout = duration{600ms};
@@ -233,7 +226,7 @@
     for (auto* it : {&rules_, &servers_, &primaries_}) {
         it->mirror.set_first_watch_delay(is_coordinating_ ? duration{} : follower_watch_delay);
     }
-    rules_.mirror.set_watch_wait(is_coordinating_ ? rules_watch_coordinator : rules_watch_fallback);
+    rules_.mirror.set_watch_wait(is_coordinating_ ? rules_watch_wait : rules_watch_fallback);
     primaries_.mirror.set_watch_wait(is_coordinating_ ? primaries_watch_coordinator
                                                       : primaries_watch_fallback);
 }
