Request a primary's position only when the known one becomes old for a route

Each instance asked when the newest known position was 400 ms old, but the coordinator's positions, one in 500 ms, arrive 250 to 750 ms old.

Change: an instance asks when the position is older than 0.6 of the smallest age that a route of the group accepts, at least 400 ms. Store calls, own statements and new connections are counted by kind and cause, for operators too.

Result: the new test of session_reads fails with an interval of 400 ms and passes now.

--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -14,9 +14,12 @@
 constexpr auto service_time_weight = 0.05;
 /// Time for which a primary is not used after it rejected a statement as read-only.
 constexpr auto demoted_primary_pause = duration{200ms};
-/// The primary's log position is requested when the newest known one is older than this; replicas need it to
-/// serve reads.
-constexpr auto position_probe_interval = duration{400ms};
+/// The primary's log position is requested when the newest known one is older than this part of the smallest
+/// age that a route of the group accepts; replicas need it to serve reads. The coordinator's positions arrive
+/// within 750 ms, so that instances rarely ask for their own: each request takes a slot of the primary.
+constexpr auto position_probe_age_share = 0.6;
+/// Lower bound of that time, for routes that accept almost no age.
+constexpr auto min_position_probe_interval = duration{400ms};
 /// No position is requested if no session that may read from the group's replicas was active for this time.
 constexpr auto position_probe_idle = duration{3s};
 
@@ -539,13 +542,26 @@
     }
 }
 
+auto session_proxy::implementation::position_probe_interval(const group_id& group) const -> duration {
+    auto smallest_age = std::optional<duration>{};
+    for (const auto& [name, route] : rules_->routes) {
+        if (route->group == group && route->kind != consistency::primary && route->max_age > duration{}) {
+            smallest_age = std::min(smallest_age.value_or(route->max_age), route->max_age);
+        }
+    }
+    return std::max(
+        min_position_probe_interval,
+        std::chrono::duration_cast<duration>(smallest_age.value_or(duration{}) * position_probe_age_share));
+}
+
 auto session_proxy::implementation::probe_primaries(time_point now) -> void {
     for (auto& entry : groups_) {
         const auto& id = entry.first;
         auto& group = entry.second;
         const auto newest = group.samples.newest_at();
         const auto known_at = std::max(newest.value_or(time_point{}), group.probed_at);
-        if (!may_use_primary(now, group) || now - known_at < position_probe_interval) {
+        if (!may_use_primary(now, group) || now - known_at < min_position_probe_interval ||
+            now - known_at < position_probe_interval(id)) {
             continue;
         }
         const auto has_recent_reads = std::any_of(sessions_.begin(), sessions_.end(), [&](const auto& it) {
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -142,6 +142,8 @@
     /// Checks whether a connection is idle for the work; opens one if there is none.
     auto check_start(time_point now, statement_work& work) -> start_check;
     auto assign_connection(time_point now, statement_work& work) -> bool;
+    /// Counts a new connection by why no open one could be used.
+    auto count_opening(const server_id& server, const server_pool::opening& opened) -> void;
     auto candidates_of(time_point now, const statement_work& work) -> std::vector<const backend_server*>;
     auto requirement_of(const statement_work& work) -> read_requirement;
     auto may_use_primary(time_point now, const group_state& group) const -> bool;
@@ -190,6 +192,8 @@
     auto abort_primary_transactions(time_point now, const group_id& group) -> void;
     auto on_tick(time_point now) -> void;
     auto probe_primaries(time_point now) -> void;
+    /// Age of the newest known position of a group's primary at which it is requested again.
+    [[nodiscard]] auto position_probe_interval(const group_id& group) const -> duration;
     auto close_sessions(time_point now) -> void;
     auto refuse_expired_starts(time_point now) -> void;
     auto begin_shutdown(const shutdown_schedule& schedule) -> void;
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -589,6 +589,27 @@
     CHECK_FALSE(sent.request.required_position.has_value());
 }
 
+// Guards against status requests of each instance, each of which takes a slot of the primary, although the
+// positions that the coordinator passes on are young enough for all routes.
+TEST(session_reads, request_a_position_only_when_the_known_one_becomes_old) {
+    start_session(1, "browse");
+    start_session(2, "place");
+    proxy.on_statement(now, 2, make_statement(session_verb::read, "q1", "READ a"));
+    open_pending_connections();
+    answer_request(next_request().connection, make_answer(transaction_state::idle));
+    proxy.on_statement(now, 1, make_statement(session_verb::read, "q2", "READ a"));
+    open_pending_connections();
+    answer_request(next_request().connection, make_answer(transaction_state::idle));
+    proxy.add_position(now, group, now, {3, 101});
+    now += 800ms;
+    proxy.set_primary(now, make_view(1, primary));
+    proxy.on_tick(now);
+    CHECK_TRUE(effects.requests.empty());
+    now += 150ms;
+    proxy.on_tick(now);
+    CHECK_TRUE(next_request().request.action == server_action::status);
+}
+
 // Guards against a read that does not see the session's own write.
 TEST(session_reads, require_position_of_own_write_at_replica) {
     start_session(1, "approve");
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -266,6 +266,21 @@
     return ordered;
 }
 
+auto session_proxy::implementation::count_opening(const server_id& server, const server_pool::opening& opened)
+    -> void {
+    // An idle connection that serves no client account of the queued work was evicted or could have been.
+    auto has_other = false;
+    auto has_idle = opened.evicted != 0;
+    for (const auto& [id, it] : pool_.connections()) {
+        if (it.server.id == server && id != opened.connection) {
+            has_other = true;
+            has_idle = has_idle || it.phase == connection_phase::idle;
+        }
+    }
+    const auto* why = has_idle ? "other-account" : has_other ? "all-busy" : "none-open";
+    counters_.count("citronlug_server_connections_total", {{"why", why}});
+}
+
 auto session_proxy::implementation::check_start(time_point now, statement_work& work) -> start_check {
     if (work.needs_primary && !may_use_primary(now, group_of(work.route->group))) {
         return start_check::blocked;
@@ -285,6 +300,7 @@
             effects_.close_server(opened.evicted);
         }
         if (opened.connection != 0) {
+            count_opening(server->id, opened);
             work.opening_connection = opened.connection;
             effects_.open_server(opened.connection, *server, work.account);
             break;
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -115,6 +115,11 @@
     log_.flush(now);
 }
 
+auto session_daemon::count_store_call(record_kind kind, const char* call, const char* why) -> void {
+    metrics_.count("citronlug_store_calls_total",
+                   {{"kind", std::string{name_of(kind)}}, {"call", call}, {"why", why}});
+}
+
 auto session_daemon::issue_store_calls(time_point now) -> void {
     const auto all = std::vector<const store_mirror*>{&primaries_.mirror, &servers_.mirror, &rules_.mirror};
     for (auto* it : {&rules_, &servers_, &primaries_}) {
@@ -125,8 +130,11 @@
         auto done = [this, it, now, number = call->number](const store_answer& answer) {
             on_store_answer(*it, number, now, answer);
         };
-        metrics_.count("citronlug_store_calls_total", {{"kind", std::string{name_of(it->kind)}},
-                                                       {"call", call->is_watch ? "watch" : "list"}});
+        count_store_call(it->kind, call->is_watch ? "watch" : "list",
+                         is_coordinating_            ? "coordinating"
+                         : coordinator_reachable_    ? "stale-evidence"
+                         : it->mirror.confirmed_at() ? "no-coordinator"
+                                                     : "start");
         if (call->is_watch) {
             platform_.store.watch(it->kind, call->revision, call->wait, std::move(done));
         } else {
@@ -202,7 +210,7 @@
     lease_read_due_ = false;
     reading_lease_ = true;
     next_lease_read_at_ = now + lease_read_interval(fleet_size_);
-    metrics_.count("citronlug_store_calls_total", {{"kind", "duty"}, {"call", "list"}});
+    count_store_call(record_kind::lease, "list", coordinator_.lease() ? "no-coordinator" : "start");
     platform_.store.list(record_kind::lease, {}, [this, now](const store_answer& answer) {
         reading_lease_ = false;
         if (answer.outcome != store_outcome::ok) {
@@ -379,6 +387,7 @@
         return;
     }
     registering_ = true;
+    count_store_call(record_kind::instances, "write", "start");
     const auto record =
         store_record{settings_.instance.value,
                      fmt::format(R"({{"peer_address":"{}","run":"{}"}})", settings_.peer_address, run_), 0};
@@ -408,7 +417,7 @@
 
 auto session_daemon::list_instances(const std::string& after, std::shared_ptr<instance_addresses> addresses)
     -> void {
-    metrics_.count("citronlug_store_calls_total", {{"kind", "instances"}, {"call", "list"}});
+    count_store_call(record_kind::instances, "list", "coordinating");
     platform_.store.list(record_kind::instances, after, [this, addresses](const store_answer& answer) {
         if (answer.outcome != store_outcome::ok) {
             return; // repeated while it is needed
@@ -437,8 +446,7 @@
 auto session_daemon::perform(time_point now, const coordinator_action& action) -> void {
     if (const auto* write = std::get_if<write_record>(&action)) {
         const auto kind = write->name == coordinator_lease_name ? record_kind::lease : record_kind::primaries;
-        metrics_.count("citronlug_store_calls_total",
-                       {{"kind", std::string{name_of(kind)}}, {"call", "write"}});
+        count_store_call(kind, "write", coordinator_.is_coordinating(now) ? "coordinating" : "lease");
         platform_.store.write(
             kind, {write->name, write->value, 0}, write->expected_revision,
             [this, now, name = write->name, value = write->value](const store_answer& answer) {
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -232,11 +232,13 @@
 
 auto session_daemon::open_server(connection_id connection, const backend_server& server,
                                  const account_id& account) -> void {
-    metrics_.count("citronlug_server_connections_total");
     links_.open(connection, server, account);
 }
 
 auto session_daemon::send_server(connection_id connection, const server_request& request) -> void {
+    if (request.id.empty()) {
+        metrics_.count("citronlug_own_statements_total", {{"action", std::string{name_of(request.action)}}});
+    }
     links_.send(connection, request);
 }
 
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -72,6 +72,8 @@
 
     auto on_tick() -> void;
     auto issue_store_calls(time_point now) -> void;
+    /// Counts a call by its kind and by why it is made, because each call is paid.
+    auto count_store_call(record_kind kind, const char* call, const char* why) -> void;
     /// False while the store is unavailable to all mirrors. Only one of them retries then; the lease is still
     /// renewed.
     [[nodiscard]] auto is_store_available() const -> bool;
