Limit the requests that all instances together send to a cold server

Cause: a server is slow for a while after its start.

Change: each message to a cold server (statement, preparation, begin, commit, rollback, status request, opening of a connection) takes a token. The coordinator hands out at most ColdPerS tokens in any 1.25 s and names the cold servers in each answer; tokens lapse 250 ms after the request for them. A new coordinator hands out none for 1.25 s, as its predecessor may have handed out all until then. Work for a cold primary waits on its queue or its connection and is refused as not run; reads go to other servers. A status request of the coordinator that finds no token is deferred and says nothing about the server.

--- a/src/include/citronlug/primary_coordinator.h
+++ b/src/include/citronlug/primary_coordinator.h
@@ -48,6 +48,8 @@
     auto on_report(time_point now, const instance_report& report) -> void;
     auto on_probe(time_point now, const server_id& server, time_point asked_at, const probe_result& result)
         -> void;
+    /// The status request was not sent, because the server is cold. It says nothing about the server.
+    auto on_probe_deferred(const server_id& server) -> void;
     auto on_written(time_point now, const std::string& name, time_point asked_at, write_outcome outcome,
                     std::uint64_t revision) -> void;
     auto on_promotion(time_point now, const group_id& group, promotion_outcome outcome) -> void;
--- a/src/include/citronlug/session_proxy.h
+++ b/src/include/citronlug/session_proxy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <citronlug/account_limiter.h>
+#include <citronlug/cold_start.h>
 #include <citronlug/desired_state.h>
 #include <citronlug/log.h>
 #include <citronlug/log_events.h>
@@ -44,7 +45,7 @@
     virtual auto send_server(connection_id connection, const server_request& request) -> void = 0;
     virtual auto close_server(connection_id connection) -> void = 0;
 
-    /// The account limiter has token requests for the coordinator.
+    /// There are requests for tokens of client accounts or cold servers to be sent to the coordinator.
     virtual auto send_token_requests() -> void = 0;
     virtual auto log(log_level level, log_event event, const std::vector<log_field>& fields) -> void = 0;
 };
@@ -93,6 +94,10 @@
     /// Repeats the admission of operations that wait for a token.
     auto retry_admission(time_point now) -> void;
 
+    [[nodiscard]] auto cold_start() -> cold_start_gate&;
+    /// Tokens of cold servers from the answer to the report that was sent at `asked_at`.
+    auto on_cold_grants(time_point now, time_point asked_at, const std::vector<cold_grant>& grants) -> void;
+
     /// Handles deadlines and retry delays; to be called every few milliseconds.
     auto on_tick(time_point now) -> void;
     /// Starts a graceful shutdown: sessions are closed when they become idle, and each statement is answered
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -314,6 +314,13 @@
         }
     }
 
+    auto on_probe_deferred(const server_id& id) -> void {
+        const auto it = servers_.find(id);
+        if (it != servers_.end()) {
+            it->second.pending = false;
+        }
+    }
+
     auto on_probe(time_point now, const server_id& id, time_point asked_at, const probe_result& result)
         -> void {
         const auto it = servers_.find(id);
@@ -1013,6 +1020,10 @@
     impl_->on_report(now, report);
 }
 
+auto primary_coordinator::on_probe_deferred(const server_id& server) -> void {
+    impl_->on_probe_deferred(server);
+}
+
 auto primary_coordinator::on_probe(time_point now, const server_id& server, time_point asked_at,
                                    const probe_result& result) -> void {
     impl_->on_probe(now, server, asked_at, result);
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -57,6 +57,11 @@
     rolling_back_.erase(id);
     probes_.erase(id);
     auto& group = group_of(server.group);
+    const auto* listed = pool_.server(server.id);
+    if ((reason == connection_loss::refused || reason == connection_loss::closed) && listed != nullptr &&
+        listed->started_ms == server.started_ms && listed->address == server.address) {
+        cold_.servers().on_connection_lost(now, server.id);
+    }
     if (reason == connection_loss::no_room) {
         pool_.on_connection_limit(server.id, now);
     } else if (!was_idle) {
@@ -445,6 +450,7 @@
          {"routes", std::to_string(rules_->routes.size())},
          {"accounts", std::to_string(rules_->accounts.size())}});
     limiter_.set_limits(now, *rules_);
+    cold_.servers().set_rules(*rules_);
     update_connection_budgets();
     for (const auto& [caller, it] : std::exchange(pending_starts_, {})) {
         on_start(now, caller, it.database, it.key);
@@ -471,6 +477,7 @@
 
 auto session_proxy::implementation::set_servers(time_point now, const std::vector<backend_server>& servers)
     -> void {
+    cold_.servers().set_servers(now, servers);
     for (const auto id : pool_.set_servers(now, servers)) {
         effects_.close_server(id);
         on_server_lost(now, id, connection_loss::closed);
@@ -557,10 +564,18 @@
         if (!has_recent_reads || primary == nullptr) {
             continue;
         }
+        if (!cold_.may_pass(now, primary->id, 0, time_point::max())) {
+            if (cold_.wait(now, primary->id, 0, time_point::max(), 1)) {
+                effects_.send_token_requests();
+            }
+            continue;
+        }
         const auto connection = pool_.acquire_any(primary->id, now);
         if (connection == 0) {
             continue;
         }
+        static_cast<void>(cold_.pass(now, primary->id));
+        cold_.stop_waiting(primary->id, 0, time_point::max());
         group.probed_at = now;
         probes_[connection] = now;
         effects_.send_server(connection, {server_action::status, {}, {}, {}, {}, 0});
--- a/src/libcitronlug/session_proxy.cpp
+++ b/src/libcitronlug/session_proxy.cpp
@@ -255,6 +255,10 @@
     const auto id = std::exchange(transaction.connection, 0);
     if (id != 0 && pool_.find(id) != nullptr) {
         // The connection returns to the pool when the server has answered the rollback.
+        if (!cold_.pass(now, pool_.find(id)->server.id)) {
+            close_connection(id); // the server rolls back
+            return;
+        }
         rolling_back_[id] = now;
         effects_.send_server(id, {server_action::rollback, {}, {}, {}, {}, 0});
     }
@@ -468,6 +472,22 @@
     return impl_->limiter_;
 }
 
+auto session_proxy::cold_start() -> cold_start_gate& {
+    return impl_->cold_;
+}
+
+auto session_proxy::on_cold_grants(time_point now, time_point asked_at, const std::vector<cold_grant>& grants)
+    -> void {
+    if (grants.empty()) {
+        return;
+    }
+    impl_->cold_.on_grants(now, asked_at, grants);
+    impl_->resume_cold_work(now);
+    for (auto& [id, group] : impl_->groups_) {
+        impl_->dispatch_queued(now, id);
+    }
+}
+
 auto session_proxy::retry_admission(time_point now) -> void {
     const auto waiting = std::exchange(impl_->waiting_for_tokens_, {});
     for (const auto id : waiting) {
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <citronlug/cold_start.h>
 #include <citronlug/plugin.h>
 #include <citronlug/queue_policy.h>
 #include <citronlug/read_freshness.h>
 #include <citronlug/server_pool.h>
 #include <citronlug/session_proxy.h>
 
+#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -90,6 +92,8 @@
     std::set<server_id> lagging_servers; ///< did not contain the required position
     std::uint32_t attempts = 0;
     connection_id opening_connection = 0; ///< connection being opened for it
+    server_id cold_server;                ///< it waits for a token of this server; empty: it does not
+    std::deque<server_request> held;      ///< preparations that wait for tokens of a cold server
 };
 
 /// State of one group as seen by this instance.
@@ -164,6 +168,24 @@
     /// Time after which a statement without lasting effect is abandoned at its server and retried.
     [[nodiscard]] auto attempt_timeout(const statement_work& work) const -> duration;
 
+    // Cold servers.
+    /// True if the work may send a message to the server. Otherwise it waits for `tokens` of the server.
+    auto may_use_cold(time_point now, statement_work& work, const server_id& server, std::uint32_t tokens)
+        -> bool;
+    /// Takes the token for one message of the work to its server. False: the message must wait.
+    auto take_cold_token(time_point now, statement_work& work, std::uint32_t tokens) -> bool;
+    auto stop_waiting_for_cold(statement_work& work) -> void;
+    /// Removes cold servers if the work can go to another one. A server whose limit grows keeps its place
+    /// while there are tokens for it.
+    auto drop_cold_candidates(time_point now, std::vector<const backend_server*>& candidates) -> void;
+    /// Sends preparations as tokens allow.
+    auto send_held(time_point now, statement_work& work) -> void;
+    /// Continues work that waits for tokens on its connection.
+    auto resume_cold_work(time_point now) -> void;
+    /// Refuses the work as not run if it waits for a token of a cold server that it will not get in time.
+    auto refuse_if_cold(time_point now, statement_work& work) -> bool;
+    auto publish_cold_servers(time_point now) -> void;
+
     // Answers.
     auto on_server_opened(time_point now, connection_id id) -> void;
     auto on_server_lost(time_point now, connection_id id, connection_loss reason) -> void;
@@ -210,6 +232,7 @@
     metrics& counters_;
     server_pool pool_;
     account_limiter limiter_;
+    cold_start_gate cold_;
     std::shared_ptr<const desired_state> rules_;
     std::map<group_id, group_state> groups_;
     std::map<caller_id, pending_start> pending_starts_;
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -812,3 +812,113 @@
         CHECK_TRUE(it.last_exit < begun + leave_time);
     }
 }
+
+// Scenario: the primary has just started; all instances together may send it 8 requests per second.
+struct session_cold_base : session_proxy_base {
+    void setup() override {
+        auto rules = make_rules(1);
+        rules->groups[group] = {group, 34, 0, 5s, 8};
+        auto cold = make_server(primary);
+        cold.cold_remaining = 5s;
+        proxy.set_rules(now, rules);
+        proxy.set_servers(now, {cold, make_server(replica)});
+        proxy.set_primary(now, make_view(1, primary));
+        proxy.add_position(now, group, now - 500ms, {3, 100});
+    }
+
+    auto grant(std::uint32_t tokens) -> void {
+        static_cast<void>(proxy.cold_start().take_requests(now));
+        proxy.on_cold_grants(now, now, {{primary, tokens}});
+    }
+};
+
+TEST_GROUP_BASE(session_cold_server, session_cold_base){};
+
+// Guards against a message to a cold server without a token: opening, beginning, statement, commit, rollback.
+TEST(session_cold_server, takes_one_token_for_each_message) {
+    start_session(1, "place");
+    proxy.on_statement(now, 1, make_statement(session_verb::begin, "q1", "BEGIN"));
+    proxy.on_statement(now, 1, make_statement(session_verb::write, "q2", "WRITE a b"));
+    CHECK_EQUAL(0U, effects.opening.size());
+    CHECK_TRUE(effects.token_requests_sent);
+    grant(1);
+    CHECK_EQUAL(1U, effects.opening.size());
+    open_pending_connections();
+    CHECK_EQUAL(0U, effects.requests.size());
+    grant(1);
+    const auto begin = next_request();
+    answer_request(begin.connection, make_answer(transaction_state::open, position{3, 100}));
+    CHECK_EQUAL(0U, effects.requests.size());
+    grant(1);
+    answer_request(next_request().connection, make_answer(transaction_state::open, position{3, 100}));
+    CHECK_EQUAL(std::string{"ok"}, last_result(1));
+    proxy.on_statement(now, 1, make_statement(session_verb::commit, "q3", "COMMIT"));
+    CHECK_EQUAL(0U, effects.requests.size());
+    grant(1);
+    answer_request(next_request().connection, make_answer(transaction_state::idle, position{3, 101}));
+    CHECK_EQUAL(std::string{"ok"}, last_result(1));
+    CHECK_EQUAL(4U, proxy.cold_start().take_counts().granted);
+}
+
+// Guards against a write that is reported in doubt, or waits for its whole timeout, although it was not sent.
+TEST(session_cold_server, refuses_work_without_tokens_as_not_run) {
+    start_session(1, "place");
+    proxy.on_statement(now, 1, make_statement(session_verb::write, "q1", "WRITE a b"));
+    grant(1);
+    open_pending_connections();
+    for (const auto end = now + 620ms; now < end; now += 20ms) {
+        proxy.on_tick(now);
+    }
+    CHECK_EQUAL(std::string{"busy"}, last_result(1));
+    CHECK_EQUAL(0U, effects.requests.size());
+
+    // A transaction that has begun ends, and its connection closes without a rollback.
+    proxy.set_primary(now, make_view(1, primary));
+    proxy.on_statement(now, 1, make_statement(session_verb::begin, "q2", "BEGIN"));
+    proxy.on_statement(now, 1, make_statement(session_verb::write, "q3", "WRITE a b"));
+    grant(1);
+    answer_request(next_request().connection, make_answer(transaction_state::open, position{3, 100}));
+    for (const auto end = now + 620ms; now < end; now += 20ms) {
+        proxy.on_tick(now);
+    }
+    CHECK_EQUAL(std::string{"aborted"}, last_result(1));
+    CHECK_EQUAL(0U, effects.requests.size());
+    CHECK_EQUAL(1U, effects.closed_servers.size());
+}
+
+// Guards against work that stays with a caller that has left, and against a connection that stays busy.
+TEST(session_cold_server, drops_held_work_of_a_caller_that_left) {
+    start_session(1, "place");
+    proxy.on_statement(now, 1, make_statement(session_verb::begin, "q1", "BEGIN"));
+    proxy.on_statement(now, 1, make_statement(session_verb::write, "q2", "WRITE a b"));
+    grant(1);
+    open_pending_connections();
+    grant(1);
+    answer_request(next_request().connection, make_answer(transaction_state::open, position{3, 100}));
+    proxy.on_caller_closed(now, 1);
+    proxy.on_tick(now);
+    CHECK_EQUAL(1U, effects.closed_servers.size());
+    grant(8);
+    CHECK_EQUAL(0U, effects.requests.size());
+}
+
+// Guards against reads that wait for a cold server although another server can run them, and against an end
+// of the cold period that is not noticed.
+TEST(session_cold_server, reads_go_to_another_server_at_once) {
+    proxy.on_tick(now);
+    start_session(1, "browse");
+    proxy.on_statement(now, 1, make_statement(session_verb::read, "q1", "READ a"));
+    CHECK_EQUAL(replica.value, effects.opened.at(effects.opening.front()).value);
+    open_pending_connections();
+    answer_request(next_request().connection, make_answer(transaction_state::idle));
+    CHECK_EQUAL(std::string{"ok"}, last_result(1));
+    now += 10s;
+    proxy.on_tick(now);
+    proxy.set_primary(now, make_view(1, primary));
+    start_session(2, "place");
+    proxy.on_statement(now, 2, make_statement(session_verb::write, "q2", "WRITE a b"));
+    open_pending_connections();
+    answer_request(next_request().connection, make_answer(transaction_state::idle, position{3, 101}));
+    CHECK_EQUAL(std::string{"ok"}, last_result(2));
+    CHECK_EQUAL(2, std::count(effects.events.begin(), effects.events.end(), log_event::server_cold));
+}
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -146,6 +146,8 @@
 
 auto session_proxy::implementation::enqueue(time_point now, statement_work& work) -> void {
     work.connection = 0;
+    work.held.clear();
+    stop_waiting_for_cold(work);
     if (is_unservable(now, work)) {
         refuse_unservable(now, work);
         return;
@@ -263,29 +265,41 @@
     for (const auto& [time, it] : found) {
         ordered.push_back(it);
     }
+    drop_cold_candidates(now, ordered);
     return ordered;
 }
 
 auto session_proxy::implementation::check_start(time_point now, statement_work& work) -> start_check {
     if (work.needs_primary && !may_use_primary(now, group_of(work.route->group))) {
+        stop_waiting_for_cold(work);
         return start_check::blocked;
     }
     const auto candidates = candidates_of(now, work);
-    if (std::any_of(candidates.begin(), candidates.end(),
-                    [&](const auto* server) { return pool_.has_idle(server->id, work.account); })) {
+    if (std::none_of(candidates.begin(), candidates.end(),
+                     [&](const auto* server) { return server->id == work.cold_server; })) {
+        stop_waiting_for_cold(work);
+    }
+    if (std::any_of(candidates.begin(), candidates.end(), [&](const auto* server) {
+            return pool_.has_idle(server->id, work.account) && may_use_cold(now, work, server->id, 1);
+        })) {
         return start_check::start;
     }
     const auto* opening = pool_.find(work.opening_connection);
     if (opening != nullptr && opening->phase == connection_phase::opening) {
+        static_cast<void>(may_use_cold(now, work, opening->server.id, 1)); // asks for the statement's token
         return start_check::skip;
     }
     for (const auto* server : candidates) {
+        if (pool_.has_idle(server->id, work.account) || !may_use_cold(now, work, server->id, 2)) {
+            continue; // waits for tokens; two are for the connection and the statement
+        }
         const auto opened = pool_.open(*server, work.account, now);
         if (opened.evicted != 0) {
             effects_.close_server(opened.evicted);
         }
         if (opened.connection != 0) {
             work.opening_connection = opened.connection;
+            static_cast<void>(cold_.pass(now, server->id));
             effects_.open_server(opened.connection, *server, work.account);
             break;
         }
@@ -372,9 +386,8 @@
         send(now, work);
         return;
     }
-    for (const auto& it : requests) {
-        effects_.send_server(work.connection, it);
-    }
+    work.held.assign(requests.begin(), requests.end());
+    send_held(now, work);
 }
 
 auto session_proxy::implementation::send(time_point now, statement_work& work) -> void {
@@ -407,6 +420,9 @@
         work.generation = at_primary ? group.primary.generation : 0;
         request.required_position = requirement.after;
     }
+    if (!take_cold_token(now, work, 1)) {
+        return;
+    }
     if (work.statement.verb == session_verb::execute) {
         const auto* connection = pool_.find(work.connection);
         request.action = server_action::execute;
@@ -454,6 +470,8 @@
     case work_stage::queued:
         if (is_unservable(now, work)) {
             refuse_unservable(now, work);
+        } else if (refuse_if_cold(now, work)) {
+            return;
         } else if (now >= work.queue_deadline) {
             const auto has_permit = may_use_primary(now, group_of(work.route->group));
             const auto* reason = has_permit ? "no connection is free; retry in 300 ms"
@@ -465,6 +483,9 @@
         return;
     case work_stage::preparing:
     case work_stage::running: {
+        if (refuse_if_cold(now, work)) {
+            return;
+        }
         const auto should_move = work.stage == work_stage::running && !work.writes &&
                                  now - work.sent_at > attempt_timeout(work) && retry_tokens_ >= 1;
         if (now >= work.deadline || should_move) {
@@ -549,6 +570,8 @@
         }
         dispatch_queued(now, id);
     }
+    resume_cold_work(now);
+    publish_cold_servers(now);
     probe_primaries(now);
     close_sessions(now);
     refuse_expired_starts(now);
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -89,6 +89,7 @@
     reading_primaries_ = reading_primaries_ && !coordinating;
     if (coordinating && !is_coordinating_) {
         token_allocator_.begin_term(coordinator_.lease()->fencing_token, proxy_.limiter().last_response_at());
+        cold_allocator_.begin_term(now, coordinator_.lease()->fencing_token);
         report_receiver_.reset();
         if (active_rules_) {
             token_allocator_.set_limits(now, *active_rules_);
@@ -441,6 +442,15 @@
     });
 }
 
+auto session_daemon::probe(time_point now, const backend_server& server) -> void {
+    const auto messages = probes_.is_connected(server) ? 1U : 2U;
+    if (cold_allocator_.take_own(now, server.id, messages, proxy_.cold_start().servers())) {
+        probes_.probe(now, server);
+    } else {
+        coordinator_.on_probe_deferred(server.id);
+    }
+}
+
 auto session_daemon::perform(time_point now, const coordinator_action& action) -> void {
     if (const auto* write = std::get_if<write_record>(&action)) {
         const auto kind = write->name == coordinator_lease_name ? record_kind::lease : record_kind::primaries;
@@ -462,9 +472,9 @@
     } else if (const auto* probe = std::get_if<probe_server>(&action)) {
         const auto it = registered_servers_.find(probe->server);
         if (it != registered_servers_.end()) {
-            probes_.probe(now, it->second);
+            this->probe(now, it->second);
         } else if (const auto gone = departed_servers_.find(probe->server); gone != departed_servers_.end()) {
-            probes_.probe(now, gone->second.server);
+            this->probe(now, gone->second.server);
         }
     } else if (const auto* order = std::get_if<order_promotion>(&action)) {
         platform_.promotions.promote(order->group, order->server, settings_.instance, order->fencing_token,
@@ -476,7 +486,10 @@
         platform_.promotions.cancel_all();
     } else if (const auto* step_down = std::get_if<order_step_down>(&action)) {
         const auto it = registered_servers_.find(step_down->server);
-        if (it != registered_servers_.end()) {
+        // An order that finds no token is repeated by the coordinator.
+        if (it != registered_servers_.end() &&
+            cold_allocator_.take_own(now, it->first, probes_.is_connected(it->second) ? 1 : 2,
+                                     proxy_.cold_start().servers())) {
             probes_.step_down(it->second, step_down->term);
         }
     }
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -35,6 +35,7 @@
         report.groups.push_back(std::move(it));
     }
     report.token_requests = proxy_.limiter().take_requests(now, coordinator);
+    report.cold_requests = proxy_.cold_start().take_requests(now);
     return report;
 }
 
@@ -85,6 +86,7 @@
     report_due_ = report_due_ || answer.wants_complete_report;
     coordinator_.on_holder_answer(asked_at, answer.fencing_token, answer.renewals);
     proxy_.limiter().on_responses(now, asked_at, answer.fencing_token, answer.tokens);
+    proxy_.on_cold_grants(now, asked_at, answer.cold_grants);
     proxy_.set_instances(now, answer.instances);
     fleet_size_ = answer.instances;
     if (answer.rules_age) {
@@ -204,6 +206,8 @@
             answer.tokens.push_back(response);
         }
     }
+    answer.cold_grants =
+        cold_allocator_.take(now, report.instance, report.cold_requests, proxy_.cold_start().servers());
     return answer;
 }
 } // namespace citronlug
--- a/src/sessiond/server_links.cpp
+++ b/src/sessiond/server_links.cpp
@@ -183,6 +183,12 @@
     }
 }
 
+auto server_probes::is_connected(const backend_server& server) const -> bool {
+    const auto it = probes_.find(server.id);
+    return it != probes_.end() && it->second.connection != 0 && it->second.server.address == server.address &&
+           it->second.server.started_ms == server.started_ms;
+}
+
 auto server_probes::step_down(const backend_server& server, term_number term) -> void {
     const auto it = probes_.find(server.id);
     if (it == probes_.end() || it->second.connection == 0 || !it->second.open) {
--- a/src/sessiond/server_links.h
+++ b/src/sessiond/server_links.h
@@ -53,6 +53,8 @@
     server_probes(const wire_codec& wire, probe_handler on_result);
 
     auto probe(time_point now, const backend_server& server) -> void;
+    /// True if the next request to the server needs no new connection.
+    [[nodiscard]] auto is_connected(const backend_server& server) const -> bool;
     auto step_down(const backend_server& server, term_number term) -> void;
     /// Fails probes that have timed out and closes idle connections.
     auto on_tick(time_point now) -> void;
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -6,6 +6,7 @@
 #include "platform.h"
 #include "server_links.h"
 
+#include <citronlug/cold_start.h>
 #include <citronlug/primary_coordinator.h>
 #include <citronlug/report_exchange.h>
 #include <citronlug/session_proxy.h>
@@ -95,6 +96,8 @@
     auto apply_primaries(time_point now) -> void;
     auto register_instance(time_point now) -> void;
     auto perform(time_point now, const coordinator_action& action) -> void;
+    /// Sends a status request unless the server is cold and there are no tokens for it.
+    auto probe(time_point now, const backend_server& server) -> void;
     using instance_addresses = std::map<instance_id, std::string>;
     auto list_instances(const std::string& after, std::shared_ptr<instance_addresses> addresses) -> void;
     /// Sends the coordinator's address to registered instances that do not report to it, as the store may be
@@ -126,6 +129,7 @@
     session_proxy proxy_;
     primary_coordinator coordinator_;
     token_allocator token_allocator_;
+    cold_token_allocator cold_allocator_;
     report_sender report_sender_;
     report_receiver report_receiver_;
     server_links links_;
