--- a/src/include/citronlug/cold_start.h
+++ b/src/include/citronlug/cold_start.h
@@ -68,9 +68,9 @@
     std::map<server_id, entry> entries_;
 };
 
-/// Instance's side: the tokens that this instance has for cold servers, and the work that waits for them. Each
-/// message to a cold server takes one token. Tokens come only from the coordinator, so without it a cold server
-/// receives nothing. Not thread-safe.
+/// Instance's side: the tokens that this instance has for cold servers, and the work that waits for them.
+/// Each message to a cold server takes one token. Tokens come only from the coordinator, so without it a cold
+/// server receives nothing. Not thread-safe.
 class cold_start_gate {
 public:
     struct counts {
@@ -91,8 +91,8 @@
     /// this work and all waiting work that is more urgent.
     [[nodiscard]] auto may_pass(time_point now, const server_id& id, std::uint64_t work, time_point deadline)
         -> bool;
-    /// The work needs this number of tokens. Applies for a short time; repeat it while the work waits. True if
-    /// the work was not waiting, so that a report with a request for tokens should be sent now.
+    /// The work needs this number of tokens. Applies for a short time; repeat it while the work waits. True
+    /// if the work was not waiting, so that a report with a request for tokens should be sent now.
     auto wait(time_point now, const server_id& id, std::uint64_t work, time_point deadline,
               std::uint32_t tokens) -> bool;
     /// The work no longer waits for the server.
@@ -144,8 +144,8 @@
     [[nodiscard]] auto take(time_point now, const instance_id& instance,
                             const std::vector<cold_request>& requests, cold_servers& servers)
         -> std::vector<cold_grant>;
-    /// Takes tokens for messages of the coordinator itself, which may use a quarter of them. False: it must not
-    /// send them now.
+    /// Takes tokens for messages of the coordinator itself, which may use a quarter of them. False: it must
+    /// not send them now.
     [[nodiscard]] auto take_own(time_point now, const server_id& id, std::uint32_t tokens,
                                 const cold_servers& servers) -> bool;
 
--- a/src/libcitronlug/cold_start/cold_servers.cpp
+++ b/src/libcitronlug/cold_start/cold_servers.cpp
@@ -12,8 +12,8 @@
 /// After the cold period the limit doubles each second for this time and then ends. Otherwise the load that
 /// waited for the server would reach it all at once.
 constexpr auto recovery_time = duration{5s};
-/// A server whose connections broke is treated as cold for this time, unless its entry changes before. By then
-/// the entry of a restarted server has been written and distributed.
+/// A server whose connections broke is treated as cold for this time, unless its entry changes before. By
+/// then the entry of a restarted server has been written and distributed.
 constexpr auto suspicion_time = duration{3s};
 /// An announcement holds for this time: two intervals between reports and the time for an answer.
 constexpr auto announcement_lifetime = duration{600ms};
@@ -45,7 +45,8 @@
         if (is_new_run) {
             it.cold_until.reset();
         }
-        if (server.cold_remaining > duration{} && (is_new_run || server.cold_remaining != it.server.cold_remaining)) {
+        if (server.cold_remaining > duration{} &&
+            (is_new_run || server.cold_remaining != it.server.cold_remaining)) {
             it.cold_until = now + server.cold_remaining;
         } else if (server.cold_remaining == duration{} && it.cold_until && *it.cold_until > now) {
             it.cold_until = now;
--- a/src/libcitronlug/cold_start/cold_start_gate.cpp
+++ b/src/libcitronlug/cold_start/cold_start_gate.cpp
@@ -109,7 +109,8 @@
     // No other instance may want tokens, so the whole limit is assumed until the rate has been measured.
     auto rate = *limit;
     if (it.asking_since && now - *it.asking_since >= min_measured_time && it.granted_since > 0) {
-        rate = std::min(rate, static_cast<double>(it.granted_since) / seconds{now - *it.asking_since}.count());
+        rate =
+            std::min(rate, static_cast<double>(it.granted_since) / seconds{now - *it.asking_since}.count());
     }
     return seconds{std::max(0.0, ahead - available(it)) / rate} > seconds{deadline - now};
 }
@@ -128,9 +129,8 @@
             counts_.requested += requests.back().wanted;
         }
     }
-    std::erase_if(purses_, [](const auto& it) {
-        return it.second.batches.empty() && it.second.waiting.empty();
-    });
+    std::erase_if(purses_,
+                  [](const auto& it) { return it.second.batches.empty() && it.second.waiting.empty(); });
     return requests;
 }
 
--- a/src/libcitronlug/session_cold_start.cpp
+++ b/src/libcitronlug/session_cold_start.cpp
@@ -4,13 +4,14 @@
 
 namespace citronlug {
 
-auto session_proxy::implementation::may_use_cold(time_point now, statement_work& work, const server_id& server,
-                                                 std::uint32_t tokens) -> bool {
+auto session_proxy::implementation::may_use_cold(time_point now, statement_work& work,
+                                                 const server_id& server, std::uint32_t tokens) -> bool {
     if (!cold_.is_limited(now, server)) {
         return true;
     }
     const auto may = cold_.may_pass(now, server, work.id, work.queue_deadline);
-    // Also work that may start waits until it has spent its tokens, so that less urgent work leaves them to it.
+    // Also work that may start waits until it has spent its tokens, so that less urgent work leaves them to
+    // it.
     const auto is_new = cold_.wait(now, server, work.id, work.queue_deadline, tokens);
     work.cold_server = server;
     if (is_new && !may) {
@@ -19,8 +20,8 @@
     return may;
 }
 
-auto session_proxy::implementation::take_cold_token(time_point now, statement_work& work, std::uint32_t tokens)
-    -> bool {
+auto session_proxy::implementation::take_cold_token(time_point now, statement_work& work,
+                                                    std::uint32_t tokens) -> bool {
     if (!cold_.is_limited(now, work.server)) {
         stop_waiting_for_cold(work);
         return true;
@@ -133,8 +134,7 @@
              {"remaining_ms", std::to_string(it.remaining / 1ms)}});
     }
     if (!changes.empty()) {
-        counters_.set("citronlug_cold_servers", {},
-                      static_cast<double>(cold_.servers().limited(now).size()));
+        counters_.set("citronlug_cold_servers", {}, static_cast<double>(cold_.servers().limited(now).size()));
     }
     const auto counts = cold_.take_counts();
     if (counts.requested + counts.granted + counts.lapsed > 0) {
