Give accounts of lower priority a smaller share of a queue

Change: in the fair queue each step of priority below the highest waiting account halves the credit per round, down to an eighth. Equal priorities give the credit and the order of before.

Result: accounts of priority 0, 1, 2, 3 and 9 that always have work get shares of 8, 4, 2, 1 and 1 of 16 within 16 of 3,200 starts, and the lowest starts at least once in any 90 starts; the same with all priorities raised by 2.

--- a/src/fair.plugin/fair.cpp
+++ b/src/fair.plugin/fair.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -12,6 +13,7 @@
 
 /// Deficit round robin over client accounts. Each account has a bounded queue with one list per lane. The
 /// cost of an entry is its expected service time, so an account with slow statements starts fewer of them.
+/// Each step of priority halves the credit that an account gets per round.
 class fair_queue : public queue_policy {
 public:
     [[nodiscard]] auto push(queued_work work) -> bool override {
@@ -19,10 +21,13 @@
         if (queue.size >= max_entries_per_account) {
             return false;
         }
+        queue.priority = work.priority;
         if (queue.size == 0) {
             // An account that was not served within the last round is next: its request then waits for a
-            // single slot, not for a full round of accounts that always have work.
-            const auto round = work.cost * static_cast<std::int64_t>(ring_.size() + 1);
+            // single slot, not for a full round of accounts that always have work. A round of an account of
+            // lower priority is longer.
+            const auto round = work.cost * static_cast<std::int64_t>(ring_.size() + 1) *
+                               (1 << steps_below_highest(queue, highest_priority(queue.priority)));
             queue.deficit = served_ - queue.last_served >= round ? work.cost : duration{};
             ring_.insert(ring_.begin() + static_cast<std::ptrdiff_t>(std::min(cursor_, ring_.size())),
                          work.account);
@@ -67,16 +72,19 @@
         }
         // No account has enough credit: advance by as many rounds as the first account to reach its cost
         // needs.
+        const auto highest = highest_priority(std::numeric_limits<int>::max());
         auto rounds = std::int64_t{0};
         for (const auto& it : startable) {
-            const auto missing = it.cost - accounts_[ring_[it.ring]].deficit;
-            const auto needed = (missing.count() + quantum.count() - 1) / quantum.count();
+            const auto& queue = accounts_[ring_[it.ring]];
+            const auto missing = it.cost - queue.deficit;
+            const auto credit = quantum / (1 << steps_below_highest(queue, highest));
+            const auto needed = (missing.count() + credit.count() - 1) / credit.count();
             rounds = rounds == 0 ? needed : std::min(rounds, needed);
         }
         auto best = std::optional<candidate>{};
         for (const auto& it : startable) {
             auto& queue = accounts_[ring_[it.ring]];
-            queue.deficit += quantum * rounds;
+            queue.deficit += quantum / (1 << steps_below_highest(queue, highest)) * rounds;
             if (!best && queue.deficit >= it.cost) {
                 best = it;
             }
@@ -87,12 +95,17 @@
     [[nodiscard]] auto service_time_ahead(const account_id& account, queue_lane lane) const
         -> duration override {
         const auto own = queued_cost(account, lane);
+        const auto found = accounts_.find(account);
+        const auto highest = highest_priority(found == accounts_.end() ? 0 : found->second.priority);
+        const auto own_steps = found == accounts_.end() ? 0 : steps_below_highest(found->second, highest);
         auto sum = own;
         for (const auto& it : ring_) {
             if (it != account) {
                 // Another account gets at most as much service as this one, plus one entry of the current
-                // round.
-                sum += std::min(queued_cost(it, lane), own + quantum);
+                // round, times the ratio of their credits.
+                const auto steps = steps_below_highest(accounts_.at(it), highest);
+                const auto bound = (own + quantum) * (1 << own_steps) / (1 << steps);
+                sum += std::min(queued_cost(it, lane), bound);
             }
         }
         return sum;
@@ -106,6 +119,8 @@
     /// Above this number, accounts are removed when their queue becomes empty.
     static constexpr std::size_t max_accounts = 4096;
     static constexpr duration quantum = 1ms;
+    /// An account gets at least an eighth of the credit of the waiting accounts of the highest priority.
+    static constexpr int max_priority_steps = 3;
 
     struct account_queue {
         std::array<std::deque<queued_work>, queue_lane_count> lanes;
@@ -113,6 +128,7 @@
         std::size_t next_lane = 0;
         duration deficit{};
         duration last_served = -1h; ///< value of `served_` when its last entry started
+        int priority = 0;           ///< of the account as of its newest entry
     };
     struct candidate {
         std::size_t ring = 0;
@@ -172,6 +188,19 @@
         }
     }
 
+    /// The highest priority among the accounts with queued work and `own`.
+    [[nodiscard]] auto highest_priority(int own) const -> int {
+        auto highest = own;
+        for (const auto& it : ring_) {
+            highest = std::min(highest, accounts_.at(it).priority);
+        }
+        return highest;
+    }
+
+    [[nodiscard]] static auto steps_below_highest(const account_queue& queue, int highest) -> int {
+        return std::clamp(queue.priority - highest, 0, max_priority_steps);
+    }
+
     [[nodiscard]] auto queued_cost(const account_id& account, queue_lane lane) const -> duration {
         auto sum = duration{};
         const auto it = accounts_.find(account);
--- a/src/include/citronlug/queue_policy.h
+++ b/src/include/citronlug/queue_policy.h
@@ -26,7 +26,8 @@
     std::uint64_t number = 0;
     account_id account;
     queue_lane lane = queue_lane::write;
-    duration cost{}; ///< expected service time
+    duration cost{};  ///< expected service time
+    int priority = 0; ///< of the account; 0 is the highest
 };
 
 /// Whether an entry can start now.
--- a/src/libcitronlug/member_view_test.cpp
+++ b/src/libcitronlug/member_view_test.cpp
@@ -106,6 +106,41 @@
     });
 }
 
+// Guards against an account of low priority that starves, or that gets more than its share. Among busy
+// accounts of priority 0, 1, 2, 3 and 9, each gets half of the one before, but at least an eighth of the
+// first; in any 90 starts in a row the lowest gets at least one.
+TEST(holder_policies, fair_queue_halves_the_share_with_each_priority) {
+    for (const auto shift : {0, 2}) {
+        auto queue = plugin_registry<queue_policy>::make("fair");
+        const auto priorities = std::array{0, 1, 2, 3, 9};
+        auto started = std::array<int, 5>{};
+        auto last_start_of_lowest = 0;
+        const auto push = [&](std::uint64_t n) {
+            CHECK_TRUE(queue->push({n, account_id{std::to_string(n % 5)}, queue_lane::write, 30ms,
+                                    priorities.at(n % 5) + shift}));
+        };
+        for (std::uint64_t n = 0; n < 500; ++n) {
+            push(n);
+        }
+        for (auto n = 0; n < 3200; ++n) {
+            const auto number = queue->take([](auto) { return start_check::start; });
+            CHECK_TRUE(number.has_value());
+            const auto index = static_cast<std::size_t>(number.value_or(0) % 5);
+            ++started.at(index);
+            push(*number + 500);
+            if (index == 4) {
+                CHECK_TRUE(n - last_start_of_lowest <= 90);
+                last_start_of_lowest = n;
+            }
+        }
+        // 16 shares: 8, 4, 2, 1 and 1.
+        const auto shares = std::array{8, 4, 2, 1, 1};
+        for (std::size_t n = 0; n < shares.size(); ++n) {
+            DOUBLES_EQUAL(200.0 * shares.at(n), started.at(n), 16);
+        }
+    }
+}
+
 // Guards against lost, invented or reordered entries.
 TEST(holder_policies, queues_keep_every_entry_and_its_order) {
     check_property("a queue returns every entry in its order", [](const std::vector<std::uint8_t>& inputs) {
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -158,7 +158,9 @@
     if (!queue) {
         queue = plugin_registry<queue_policy>::make("fair");
     }
-    if (!queue->push({work.id, work.account, lane_of(work), default_service_time})) {
+    const auto account = rules_->accounts.find(work.account);
+    const auto account_priority = account == rules_->accounts.end() ? 0 : account->second.priority;
+    if (!queue->push({work.id, work.account, lane_of(work), default_service_time, account_priority})) {
         finish_with_error(now, work, session_error::busy, "too many statements are queued; retry in 500 ms");
         return;
     }
