Prefer a replica among servers with equal estimates

Cause: a read that any server may run took the server whose entry lay first in memory if the estimates were equal. Without a permit the recorded primary is a candidate like a replica. allows_replica_reads_while_position_is_recent then failed in 7 of 8 runs after the size of an unrelated object had changed.

Change: among equals the recorded primary comes last.

The test is unchanged.

--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace citronlug {
 
@@ -262,7 +263,13 @@
             found.emplace_back(*time + (is_primary ? primary_read_penalty : duration{}), it);
         }
     }
-    std::sort(found.begin(), found.end());
+    // Among equals, the recorded primary comes last, also while this instance has no permit for it.
+    std::sort(found.begin(), found.end(), [&](const auto& left, const auto& right) {
+        const auto key = [&](const auto& it) {
+            return std::tuple{it.first, it.second->id == group.primary.primary, it.second};
+        };
+        return key(left) < key(right);
+    });
     auto ordered = std::vector<const backend_server*>{};
     for (const auto& [time, it] : found) {
         ordered.push_back(it);
