Limit how often a statement is sent by MaxAttempts of its route

Change: sendings that were lost or answered by a failure count against it; refusals as not run keep their own limit of 4. Without MaxAttempts, everything is as before.

Result: a read that always fails is sent 1 and 6 times with MaxAttempts 1 and 6, after two refusals each.

--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -305,8 +305,10 @@
             return;
         }
         retry(now, work, name_of(code), code != session_error::lagging);
-    } else if (!work.writes && (code == session_error::failed || code == session_error::timed_out) &&
-               work.attempts < 2) {
+    } else if (++work.may_have_run;
+               !work.writes && (code == session_error::failed || code == session_error::timed_out) &&
+               (work.route->max_attempts == 0 ? work.attempts < 2
+                                              : work.may_have_run < work.route->max_attempts)) {
         work.tried_servers.insert(work.server);
         retry(now, work, name_of(code));
     } else {
@@ -317,6 +319,7 @@
 auto session_proxy::implementation::on_attempt_lost(time_point now, statement_work& work,
                                                     std::string_view reason, bool was_sent) -> void {
     work.connection = 0;
+    work.may_have_run += was_sent ? 1 : 0;
     if (work.caller == 0) {
         active_work_.erase(work.id);
         return;
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -89,8 +89,9 @@
     time_point permitted_until;   ///< expiry of the permit for that generation, as known when it was sent
     bool outlived_permit = false; ///< the permit was released while it ran
     std::set<server_id> tried_servers;
-    std::set<server_id> lagging_servers; ///< did not contain the required position
-    std::uint32_t attempts = 0;
+    std::set<server_id> lagging_servers;  ///< did not contain the required position
+    std::uint32_t attempts = 0;           ///< sendings of the statement
+    std::uint32_t may_have_run = 0;       ///< sendings that were lost or answered by a failure
     connection_id opening_connection = 0; ///< connection being opened for it
     server_id cold_server;                ///< it waits for a token of this server; empty: it does not
     std::deque<server_request> held;      ///< preparations that wait for tokens of a cold server
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -922,3 +922,38 @@
     CHECK_EQUAL(std::string{"ok"}, last_result(2));
     CHECK_EQUAL(2, std::count(effects.events.begin(), effects.events.end(), log_event::server_cold));
 }
+
+TEST_GROUP_BASE(session_attempts, session_proxy_base){};
+
+// Guards against statements that are sent more often than their route permits, and against refusals as not
+// run that count as attempts.
+TEST(session_attempts, are_limited_by_the_route) {
+    for (const auto max_attempts : {1U, 6U}) { // together less than the retry budget of a new instance
+        auto rules = make_rules(100 + max_attempts);
+        auto route = *rules->routes["place"];
+        route.max_attempts = max_attempts;
+        route.statement_timeout = 60s;
+        rules->routes["place"] = std::make_shared<const session_route>(route);
+        proxy.set_rules(now, rules);
+        const auto caller = caller_id{max_attempts};
+        start_session(caller, "place");
+        proxy.on_statement(now, caller, make_statement(session_verb::read, "q1", "READ a"));
+        auto sent = 0U;
+        for (auto n = 0; n < 100 && effects.answers_to[caller].empty(); ++n) {
+            open_pending_connections();
+            if (!effects.requests.empty()) {
+                const auto request = next_request();
+                const auto is_refused = n < 2;
+                sent += is_refused ? 0 : 1;
+                answer_request(request.connection,
+                               make_error(is_refused ? session_error::busy : session_error::failed,
+                                          transaction_state::idle));
+            }
+            now += 200ms;
+            proxy.set_primary(now, make_view(1, primary));
+            proxy.on_tick(now);
+        }
+        CHECK_EQUAL(max_attempts, sent);
+        CHECK_EQUAL(std::string{"failed"}, last_result(caller));
+    }
+}
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -20,8 +20,9 @@
 /// Share of the statement timeout that a statement may wait for a connection. The rest is for running it, or
 /// for the caller to try another instance.
 constexpr auto max_queue_share = 0.6;
-/// Limit of attempts to run a statement that servers refused or lost.
-constexpr auto max_attempts = std::uint32_t{4};
+/// Limit of attempts to run a statement that servers refused or lost. If the route has `max_attempts`, this
+/// limits only the attempts that servers refused.
+constexpr auto default_max_attempts = std::uint32_t{4};
 /// Retry budget: each statement adds a fraction of a retry, up to a maximum, so that retries stay a bounded
 /// share of all work.
 constexpr auto retry_tokens_per_statement = 0.2;
@@ -457,8 +458,11 @@
          {"why", std::string{reason}},
          {"attempts", std::to_string(work.attempts)},
          {"waited_ms", std::to_string((now - work.received) / 1ms)}});
-    if (work.attempts >= max_attempts || now >= work.queue_deadline ||
-        (uses_retry_token && retry_tokens_ < 1)) {
+    const auto max_attempts = work.route->max_attempts;
+    const auto exhausted = max_attempts == 0 ? work.attempts >= default_max_attempts
+                                             : work.may_have_run >= max_attempts ||
+                                                   work.attempts - work.may_have_run >= default_max_attempts;
+    if (exhausted || now >= work.queue_deadline || (uses_retry_token && retry_tokens_ < 1)) {
         finish_with_error(now, work, session_error::busy, fmt::format("{}; retry in 300 ms", reason));
         return;
     }
