Treat a server as restarted for all only if many instances lost it

Cause: one instance whose network to a server is broken asked for tokens, and the coordinator then announced the server as cold to all instances, which slows down a healthy server for 3 s of every 8. Connections that this side gave up after a time-out counted as broken, so a slow server could be held to ColdPerS.

Change: the announcement needs requests of at least half of the instances that reported within a second. Time-outs do not make a server suspect. The coordinator's own lost connections count as those of one instance.

--- a/src/include/citronlug/cold_start.h
+++ b/src/include/citronlug/cold_start.h
@@ -34,13 +34,15 @@
     auto on_connection_lost(time_point now, const server_id& id) -> void;
     /// The coordinator's answer to a report that was sent at `asked_at` names the server as cold.
     auto on_announced(time_point asked_at, const server_id& id) -> void;
-    /// An instance asked for tokens of the server. If it is not known as cold here, it may have restarted.
-    auto on_tokens_wanted(time_point now, const server_id& id) -> void;
+    /// At the coordinator: many instances asked for tokens of the server. If it is not known as cold here, it
+    /// may have restarted.
+    auto on_wanted_by_many(time_point now, const server_id& id) -> void;
 
     /// The limit that holds at this instance.
     [[nodiscard]] auto limit_of(time_point now, const server_id& id) const -> limit;
-    /// The limit without announcements of a coordinator. A coordinator that used its own announcements would
-    /// keep a server cold for ever.
+    /// The limit that holds for all instances and that a coordinator announces. It leaves out announcements,
+    /// since a coordinator that used its own would keep a server cold for ever, and connections that this
+    /// instance lost, since only its own network may be at fault.
     [[nodiscard]] auto own_limit_of(time_point now, const server_id& id) const -> limit;
     /// `ColdPerS` of the server's group; empty if the group has no limit or the server is not known.
     [[nodiscard]] auto configured_limit_of(const server_id& id) const -> limit;
@@ -55,9 +57,10 @@
     struct entry {
         backend_server server;
         std::optional<time_point> cold_until; ///< by the server's entry; empty: it was not cold
-        time_point suspect_until;             ///< it may have restarted
+        time_point suspect_until;             ///< connections of this instance were lost
+        time_point widely_suspect_until;      ///< many instances asked for tokens
         time_point announced_until;           ///< the coordinator names it as cold
-        time_point trusted_until;             ///< requests for tokens do not make it suspect before
+        time_point trusted_until;             ///< it does not become widely suspect before
         bool was_limited = false;             ///< as last returned by `take_changes`
     };
 
@@ -163,13 +166,17 @@
     struct entry {
         std::deque<grant> grants;
         std::vector<waiting_instance> line; ///< in the order in which they began to ask
+        std::map<instance_id, time_point> asked_at;
     };
 
     [[nodiscard]] auto grant_to(time_point now, entry& it, double limit, const instance_id& instance,
                                 std::uint32_t wanted) -> std::uint32_t;
+    /// True if at least half of the instances that reported recently also asked for tokens of the server.
+    [[nodiscard]] auto is_wanted_by_many(const entry& it) const -> bool;
     [[nodiscard]] auto left(time_point now, entry& it, double limit) const -> std::uint32_t;
 
     std::map<server_id, entry> entries_;
+    std::map<instance_id, time_point> reported_at_; ///< of all instances
     std::uint64_t fencing_token_ = 0;
     time_point term_began_at_;
 };
--- a/src/libcitronlug/cold_start/cold_servers.cpp
+++ b/src/libcitronlug/cold_start/cold_servers.cpp
@@ -17,8 +17,8 @@
 constexpr auto suspicion_time = duration{3s};
 /// An announcement holds for this time: two intervals between reports and the time for an answer.
 constexpr auto announcement_lifetime = duration{600ms};
-/// Requests for tokens make a server suspect only this long after its limit ended. Other instances may have
-/// read its entry later and still ask for tokens.
+/// Requests for tokens make a server widely suspect only this long after its limit ended. Other instances may
+/// have read its entry later and still ask for tokens.
 constexpr auto trust_time = duration{5s};
 
 } // namespace
@@ -52,6 +52,7 @@
             it.cold_until = now;
         }
         it.suspect_until = {};
+        it.widely_suspect_until = {};
         it.server = server;
     }
     std::erase_if(entries_, [&](const auto& it) { return !listed.contains(it.first); });
@@ -78,7 +79,7 @@
     }
 }
 
-auto cold_servers::on_tokens_wanted(time_point now, const server_id& id) -> void {
+auto cold_servers::on_wanted_by_many(time_point now, const server_id& id) -> void {
     const auto* known = find(id);
     if (known == nullptr) {
         return;
@@ -87,14 +88,14 @@
     if (limit_of(now, it)) {
         it.trusted_until = now + trust_time;
     } else if (now >= it.trusted_until) {
-        it.suspect_until = now + suspicion_time;
-        it.trusted_until = it.suspect_until + trust_time;
+        it.widely_suspect_until = now + suspicion_time;
+        it.trusted_until = it.widely_suspect_until + trust_time;
     }
 }
 
 auto cold_servers::limit_of(time_point now, const entry& it) const -> limit {
     const auto per_s = limits_.at(it.server.group);
-    if (now < it.suspect_until || (it.cold_until && now < *it.cold_until)) {
+    if (now < it.widely_suspect_until || (it.cold_until && now < *it.cold_until)) {
         return per_s;
     }
     if (it.cold_until && now < *it.cold_until + recovery_time) {
@@ -114,7 +115,10 @@
         return std::nullopt;
     }
     const auto own = limit_of(now, *it);
-    return !own && now < it->announced_until ? limit{limits_.at(it->server.group)} : own;
+    if (now < it->suspect_until || (!own && now < it->announced_until)) {
+        return limits_.at(it->server.group);
+    }
+    return own;
 }
 
 auto cold_servers::configured_limit_of(const server_id& id) const -> limit {
@@ -125,7 +129,7 @@
 auto cold_servers::is_recovering(time_point now, const server_id& id) const -> bool {
     const auto* it = find(id);
     return it != nullptr && it->cold_until && now >= *it->cold_until && now >= it->suspect_until &&
-           now < *it->cold_until + recovery_time;
+           now >= it->widely_suspect_until && now < *it->cold_until + recovery_time;
 }
 
 auto cold_servers::limited(time_point now) const -> std::vector<server_id> {
@@ -147,7 +151,8 @@
         const auto is_limited = limit_of(now, id).has_value();
         if (is_limited != it.was_limited) {
             it.was_limited = is_limited;
-            const auto until = std::max({it.cold_until.value_or(now), it.suspect_until, it.announced_until});
+            const auto until = std::max(
+                {it.cold_until.value_or(now), it.suspect_until, it.widely_suspect_until, it.announced_until});
             changes.push_back({id, is_limited, is_limited ? std::max(duration{}, until - now) : duration{}});
         }
     }
--- a/src/libcitronlug/cold_start/cold_token_allocator.cpp
+++ b/src/libcitronlug/cold_start/cold_token_allocator.cpp
@@ -12,6 +12,11 @@
 /// An instance that has not repeated its request for this time has left the line: two intervals between
 /// reports and the time for an answer.
 constexpr auto request_lifetime = duration{600ms};
+/// Reports and requests count towards a wide suspicion for this time: some intervals between reports.
+constexpr auto report_validity = duration{1s};
+/// Part of the instances that must have lost connections to a server before it is treated as cold for all of
+/// them. The instances of one failure domain of three may be cut off from a server that did not restart.
+constexpr auto wide_suspicion_fraction = 0.5;
 /// Part of the tokens that the coordinator's own status requests may use, so that callers are served as well.
 constexpr auto own_fraction = 0.25;
 /// An own status request on a new connection takes two tokens.
@@ -51,6 +56,11 @@
     return capacity_of(limit) - std::min(capacity_of(limit), used);
 }
 
+auto cold_token_allocator::is_wanted_by_many(const entry& it) const -> bool {
+    return static_cast<double>(it.asked_at.size()) >=
+           wide_suspicion_fraction * static_cast<double>(reported_at_.size());
+}
+
 auto cold_token_allocator::grant_to(time_point now, entry& it, double limit, const instance_id& instance,
                                     std::uint32_t wanted) -> std::uint32_t {
     std::erase_if(it.line, [&](const auto& waiting) { return now - waiting.asked_at > request_lifetime; });
@@ -77,10 +87,13 @@
                                 const std::vector<cold_request>& requests, cold_servers& servers)
     -> std::vector<cold_grant> {
     auto grants = std::vector<cold_grant>{};
+    reported_at_[instance] = now;
+    std::erase_if(reported_at_, [&](const auto& it) { return now - it.second > report_validity; });
     auto answered = std::set<server_id>{};
     for (auto& [id, it] : entries_) {
+        const auto& server = id;
         const auto is_wanted = std::any_of(requests.begin(), requests.end(),
-                                           [&](const auto& request) { return request.server == id; });
+                                           [&](const auto& request) { return request.server == server; });
         if (!is_wanted) {
             std::erase_if(it.line, [&](const auto& waiting) { return waiting.instance == instance; });
         }
@@ -90,10 +103,15 @@
         if (!configured || request.wanted == 0 || !answered.insert(request.server).second) {
             continue; // the rules or the list of servers of one side are older; the instance asks again
         }
-        servers.on_tokens_wanted(now, request.server);
+        auto& it = entries_[request.server];
+        it.asked_at[instance] = now;
+        std::erase_if(it.asked_at, [&](const auto& asked) { return now - asked.second > report_validity; });
+        if (is_wanted_by_many(it)) {
+            servers.on_wanted_by_many(now, request.server);
+        }
         const auto limit = servers.own_limit_of(now, request.server).value_or(*configured);
         const auto wanted = std::min(request.wanted, capacity_of(limit));
-        const auto tokens = grant_to(now, entries_[request.server], limit, instance, wanted);
+        const auto tokens = grant_to(now, it, limit, instance, wanted);
         if (tokens > 0) {
             grants.push_back({request.server, tokens});
         }
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -45,8 +45,8 @@
     dispatch_queued(now, connection->server.group);
 }
 
-auto session_proxy::implementation::on_server_lost(time_point now, connection_id id, connection_loss reason)
-    -> void {
+auto session_proxy::implementation::on_server_lost(time_point now, connection_id id, connection_loss reason,
+                                                   bool timed_out) -> void {
     const auto* connection = pool_.find(id);
     if (connection == nullptr) {
         return;
@@ -58,8 +58,8 @@
     probes_.erase(id);
     auto& group = group_of(server.group);
     const auto* listed = pool_.server(server.id);
-    if ((reason == connection_loss::refused || reason == connection_loss::closed) && listed != nullptr &&
-        listed->started_ms == server.started_ms && listed->address == server.address) {
+    if (!timed_out && (reason == connection_loss::refused || reason == connection_loss::closed) &&
+        listed != nullptr && listed->started_ms == server.started_ms && listed->address == server.address) {
         cold_.servers().on_connection_lost(now, server.id);
     }
     if (reason == connection_loss::no_room) {
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -189,7 +189,9 @@
 
     // Answers.
     auto on_server_opened(time_point now, connection_id id) -> void;
-    auto on_server_lost(time_point now, connection_id id, connection_loss reason) -> void;
+    /// `timed_out`: this instance gave the connection up; the server is not known to have closed it.
+    auto on_server_lost(time_point now, connection_id id, connection_loss reason, bool timed_out = false)
+        -> void;
     auto on_server_answer(time_point now, connection_id id, const session_answer& answer) -> void;
     auto on_prepared(time_point now, statement_work& work, const session_answer& answer) -> void;
     auto on_result(time_point now, statement_work& work, const session_answer& answer) -> void;
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -557,7 +557,7 @@
     }
     for (const auto id : expired) {
         effects_.close_server(id);
-        on_server_lost(now, id, connection_loss::refused);
+        on_server_lost(now, id, connection_loss::refused, true);
     }
     for (const auto id : pool_.surplus(now)) {
         close_connection(id);
