Bound the period of very low limits of cold servers

Cause: ColdPerS may be any positive number, and the period of a token, its inverse, was not representable below 1e-12.

Change: limits below 1e-6 are treated as 1e-6.

--- a/src/libcitronlug/cold_start/cold_token_allocator.cpp
+++ b/src/libcitronlug/cold_start/cold_token_allocator.cpp
@@ -22,6 +22,9 @@
 /// An own status request on a new connection takes two tokens.
 constexpr auto min_own_tokens = std::uint32_t{2};
 
+/// Lower limits are treated as this one, one token in twelve days, so that a period is always representable.
+constexpr auto min_limit = 1e-6;
+
 /// Number of tokens that may be handed out within one `period_of`.
 auto capacity_of(double limit) -> std::uint32_t {
     return static_cast<std::uint32_t>(std::clamp(limit, 1.0, 1e9));
@@ -29,7 +32,8 @@
 
 /// Tokens handed out within one lifetime before a second may be used in it.
 auto period_of(double limit) -> duration {
-    return std::chrono::duration_cast<duration>(seconds{1 / std::min(1.0, limit)}) + cold_token_lifetime;
+    return std::chrono::duration_cast<duration>(seconds{1 / std::clamp(limit, min_limit, 1.0)}) +
+           cold_token_lifetime;
 }
 
 } // namespace
