Test that a cold primary is not replaced for deferred status requests

Cause: no test guarded the deferral of status requests at the coordinator.

Change: the simulated servers may be cold, so that status requests find no token.

Result: no change of primary in 5 s, and one within 3 s after the server has failed.

--- a/src/libcitronlug/primary_coordinator_test.cpp
+++ b/src/libcitronlug/primary_coordinator_test.cpp
@@ -44,6 +44,7 @@
     bool is_primary = false;
     term_number term = 1;
     log_position log = 100;
+    bool is_cold = false; ///< status requests find no token
 };
 
 } // namespace
@@ -112,6 +113,10 @@
             node.on_instances(now, registered);
         } else if (const auto* probe = std::get_if<probe_server>(&action)) {
             const auto& it = server_states[probe->server];
+            if (it.is_cold) {
+                node.on_probe_deferred(probe->server);
+                return;
+            }
             auto result = probe_result{it.alive, !it.alive, {}};
             if (it.alive) {
                 result.status = server_status{it.is_primary, it.term, {it.term, it.log}};
@@ -585,6 +590,19 @@
     CHECK_EQUAL(1U, record().generation);
 }
 
+// Guards against replacing a primary that is only cold, because the status requests that were not sent to it
+// have no answer, and against never asking it again.
+TEST(coordinator_change, is_not_made_because_status_requests_are_deferred) {
+    run_for(1s);
+    server_states[server_id{"s1"}].is_cold = true;
+    run_for(5s);
+    CHECK_FALSE(record().changing);
+    CHECK_EQUAL(1U, record().generation);
+    server_states[server_id{"s1"}] = {false, true, 1, 105};
+    run_for(3s);
+    CHECK_EQUAL(2U, record().generation);
+}
+
 // Guards against an order of a former coordinator that takes effect after the orders of the next one.
 TEST(coordinator_change, cancels_an_order_without_an_answer_before_the_lease_is_handed_over) {
     run_for(1s);
