--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -48,8 +48,8 @@
     dispatch_queued(now, connection->server.group);
 }
 
-auto session_proxy::implementation::on_server_lost(time_point now, connection_id id, connection_loss reason)
-    -> void {
+auto session_proxy::implementation::on_server_lost(time_point now, connection_id id, connection_loss reason,
+                                                   bool timed_out) -> void {
     const auto* connection = pool_.find(id);
     if (connection == nullptr) {
         return;
@@ -60,6 +60,11 @@
     rolling_back_.erase(id);
     probes_.erase(id);
     auto& group = group_of(server.group);
+    const auto* listed = pool_.server(server.id);
+    if (!timed_out && (reason == connection_loss::refused || reason == connection_loss::closed) &&
+        listed != nullptr && listed->started_ms == server.started_ms && listed->address == server.address) {
+        cold_.servers().on_connection_lost(now, server.id);
+    }
     if (reason == connection_loss::no_room) {
         pool_.on_connection_limit(server.id, now);
     } else if (!was_idle) {
@@ -303,8 +308,10 @@
             return;
         }
         retry(now, work, name_of(code), code != session_error::lagging);
-    } else if (!work.writes && (code == session_error::failed || code == session_error::timed_out) &&
-               work.attempts < 2) {
+    } else if (++work.may_have_run;
+               !work.writes && (code == session_error::failed || code == session_error::timed_out) &&
+               (work.route->max_attempts == 0 ? work.attempts < 2
+                                              : work.may_have_run < work.route->max_attempts)) {
         work.tried_servers.insert(work.server);
         retry(now, work, name_of(code));
     } else {
@@ -315,6 +322,7 @@
 auto session_proxy::implementation::on_attempt_lost(time_point now, statement_work& work,
                                                     std::string_view reason, bool was_sent) -> void {
     work.connection = 0;
+    work.may_have_run += was_sent ? 1 : 0;
     if (work.caller == 0) {
         active_work_.erase(work.id);
         return;
@@ -448,6 +456,7 @@
          {"routes", std::to_string(rules_->routes.size())},
          {"accounts", std::to_string(rules_->accounts.size())}});
     limiter_.set_limits(now, *rules_);
+    cold_.servers().set_rules(*rules_);
     update_connection_budgets();
     for (const auto& [caller, it] : std::exchange(pending_starts_, {})) {
         on_start(now, caller, it.database, it.key);
@@ -474,6 +483,7 @@
 
 auto session_proxy::implementation::set_servers(time_point now, const std::vector<backend_server>& servers)
     -> void {
+    cold_.servers().set_servers(now, servers);
     for (const auto id : pool_.set_servers(now, servers)) {
         effects_.close_server(id);
         on_server_lost(now, id, connection_loss::closed);
@@ -573,10 +583,18 @@
         if (!has_recent_reads || primary == nullptr) {
             continue;
         }
+        if (!cold_.may_pass(now, primary->id, 0, time_point::max())) {
+            if (cold_.wait(now, primary->id, 0, time_point::max(), 1)) {
+                effects_.send_token_requests();
+            }
+            continue;
+        }
         const auto connection = pool_.acquire_any(primary->id, now);
         if (connection == 0) {
             continue;
         }
+        static_cast<void>(cold_.pass(now, primary->id));
+        cold_.stop_waiting(primary->id, 0, time_point::max());
         group.probed_at = now;
         probes_[connection] = now;
         effects_.send_server(connection, {server_action::status, {}, {}, {}, {}, 0});
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace citronlug {
 
@@ -19,8 +20,9 @@
 /// Share of the statement timeout that a statement may wait for a connection. The rest is for running it, or
 /// for the caller to try another instance.
 constexpr auto max_queue_share = 0.6;
-/// Limit of attempts to run a statement that servers refused or lost.
-constexpr auto max_attempts = std::uint32_t{4};
+/// Limit of attempts to run a statement that servers refused or lost. If the route has `max_attempts`, this
+/// limits only the attempts that servers refused.
+constexpr auto default_max_attempts = std::uint32_t{4};
 /// Retry budget: each statement adds a fraction of a retry, up to a maximum, so that retries stay a bounded
 /// share of all work.
 constexpr auto retry_tokens_per_statement = 0.2;
@@ -146,6 +148,8 @@
 
 auto session_proxy::implementation::enqueue(time_point now, statement_work& work) -> void {
     work.connection = 0;
+    work.held.clear();
+    stop_waiting_for_cold(work);
     if (is_unservable(now, work)) {
         refuse_unservable(now, work);
         return;
@@ -156,7 +160,9 @@
     if (!queue) {
         queue = plugin_registry<queue_policy>::make("fair");
     }
-    if (!queue->push({work.id, work.account, lane_of(work), default_service_time})) {
+    const auto account = rules_->accounts.find(work.account);
+    const auto account_priority = account == rules_->accounts.end() ? 0 : account->second.priority;
+    if (!queue->push({work.id, work.account, lane_of(work), default_service_time, account_priority})) {
         finish_with_error(now, work, session_error::busy, "too many statements are queued; retry in 500 ms");
         return;
     }
@@ -258,11 +264,18 @@
             found.emplace_back(*time + (is_primary ? primary_read_penalty : duration{}), it);
         }
     }
-    std::sort(found.begin(), found.end());
+    // Among equals, the recorded primary comes last, also while this instance has no permit for it.
+    std::sort(found.begin(), found.end(), [&](const auto& left, const auto& right) {
+        const auto key = [&](const auto& it) {
+            return std::tuple{it.first, it.second->id == group.primary.primary, it.second};
+        };
+        return key(left) < key(right);
+    });
     auto ordered = std::vector<const backend_server*>{};
     for (const auto& [time, it] : found) {
         ordered.push_back(it);
     }
+    drop_cold_candidates(now, ordered);
     return ordered;
 }
 
@@ -283,18 +296,28 @@
 
 auto session_proxy::implementation::check_start(time_point now, statement_work& work) -> start_check {
     if (work.needs_primary && !may_use_primary(now, group_of(work.route->group))) {
+        stop_waiting_for_cold(work);
         return start_check::blocked;
     }
     const auto candidates = candidates_of(now, work);
-    if (std::any_of(candidates.begin(), candidates.end(),
-                    [&](const auto* server) { return pool_.has_idle(server->id, work.account); })) {
+    if (std::none_of(candidates.begin(), candidates.end(),
+                     [&](const auto* server) { return server->id == work.cold_server; })) {
+        stop_waiting_for_cold(work);
+    }
+    if (std::any_of(candidates.begin(), candidates.end(), [&](const auto* server) {
+            return pool_.has_idle(server->id, work.account) && may_use_cold(now, work, server->id, 1);
+        })) {
         return start_check::start;
     }
     const auto* opening = pool_.find(work.opening_connection);
     if (opening != nullptr && opening->phase == connection_phase::opening) {
+        static_cast<void>(may_use_cold(now, work, opening->server.id, 1)); // asks for the statement's token
         return start_check::skip;
     }
     for (const auto* server : candidates) {
+        if (pool_.has_idle(server->id, work.account) || !may_use_cold(now, work, server->id, 2)) {
+            continue; // waits for tokens; two are for the connection and the statement
+        }
         const auto opened = pool_.open(*server, work.account, now);
         if (opened.evicted != 0) {
             effects_.close_server(opened.evicted);
@@ -302,6 +325,7 @@
         if (opened.connection != 0) {
             count_opening(server->id, opened);
             work.opening_connection = opened.connection;
+            static_cast<void>(cold_.pass(now, server->id));
             effects_.open_server(opened.connection, *server, work.account);
             break;
         }
@@ -388,9 +412,8 @@
         send(now, work);
         return;
     }
-    for (const auto& it : requests) {
-        effects_.send_server(work.connection, it);
-    }
+    work.held.assign(requests.begin(), requests.end());
+    send_held(now, work);
 }
 
 auto session_proxy::implementation::send(time_point now, statement_work& work) -> void {
@@ -423,6 +446,9 @@
         work.generation = at_primary ? group.primary.generation : 0;
         request.required_position = requirement.after;
     }
+    if (!take_cold_token(now, work, 1)) {
+        return;
+    }
     if (work.statement.verb == session_verb::execute) {
         const auto* connection = pool_.find(work.connection);
         request.action = server_action::execute;
@@ -448,8 +474,11 @@
          {"why", std::string{reason}},
          {"attempts", std::to_string(work.attempts)},
          {"waited_ms", std::to_string((now - work.received) / 1ms)}});
-    if (work.attempts >= max_attempts || now >= work.queue_deadline ||
-        (uses_retry_token && retry_tokens_ < 1)) {
+    const auto max_attempts = work.route->max_attempts;
+    const auto exhausted = max_attempts == 0 ? work.attempts >= default_max_attempts
+                                             : work.may_have_run >= max_attempts ||
+                                                   work.attempts - work.may_have_run >= default_max_attempts;
+    if (exhausted || now >= work.queue_deadline || (uses_retry_token && retry_tokens_ < 1)) {
         finish_with_error(now, work, session_error::busy, fmt::format("{}; retry in 300 ms", reason));
         return;
     }
@@ -470,6 +499,8 @@
     case work_stage::queued:
         if (is_unservable(now, work)) {
             refuse_unservable(now, work);
+        } else if (refuse_if_cold(now, work)) {
+            return;
         } else if (now >= work.queue_deadline) {
             const auto has_permit = may_use_primary(now, group_of(work.route->group));
             const auto* reason = has_permit ? "no connection is free; retry in 300 ms"
@@ -481,6 +512,9 @@
         return;
     case work_stage::preparing:
     case work_stage::running: {
+        if (refuse_if_cold(now, work)) {
+            return;
+        }
         const auto should_move = work.stage == work_stage::running && !work.writes &&
                                  now - work.sent_at > attempt_timeout(work) && retry_tokens_ >= 1;
         if (now >= work.deadline || should_move) {
@@ -539,7 +573,7 @@
     }
     for (const auto id : expired) {
         effects_.close_server(id);
-        on_server_lost(now, id, connection_loss::refused);
+        on_server_lost(now, id, connection_loss::refused, true);
     }
     for (const auto id : pool_.surplus(now)) {
         close_connection(id);
@@ -565,6 +599,8 @@
         }
         dispatch_queued(now, id);
     }
+    resume_cold_work(now);
+    publish_cold_servers(now);
     probe_primaries(now);
     close_sessions(now);
     refuse_expired_starts(now);
