Place statements by learned limits where server_limits asks for it

Cause: the setting server_limits exists, but nothing uses it.

Change: the proxy orders candidates by server_choice in groups in which it learns, may open a connection to a clearly better server while another one has an idle connection, and reports limits as metrics and log lines. With off, candidates and connections are chosen as before.

--- a/src/include/citronlug/server_pool.h
+++ b/src/include/citronlug/server_pool.h
@@ -86,6 +86,8 @@
     [[nodiscard]] auto estimate(const backend_server& server, const account_id& account, time_point now)
         -> std::optional<duration>;
 
+    /// Added latency of the network to a server in another failure domain.
+    [[nodiscard]] auto distance_to(const backend_server& server) const -> duration;
     /// True if a connection to this server is idle for this account.
     [[nodiscard]] auto has_idle(const server_id& server, const account_id& account) const -> bool;
     /// An idle connection for this account, marked busy; 0 if there is none. Prefers one whose session
--- a/src/include/citronlug/session_proxy.h
+++ b/src/include/citronlug/session_proxy.h
@@ -6,6 +6,7 @@
 #include <citronlug/log_events.h>
 #include <citronlug/metrics.h>
 #include <citronlug/session_protocol.h>
+#include <citronlug/session_settings.h>
 #include <citronlug/shutdown_schedule.h>
 
 #include <memory>
@@ -72,6 +73,9 @@
     auto set_servers(time_point now, const std::vector<backend_server>& servers) -> void;
     auto set_primary(time_point now, const primary_view& view) -> void;
     auto set_instances(time_point now, std::uint32_t live) -> void;
+    /// Until it is called, placement does not learn. To be called before the first `set_servers`; `seed`
+    /// differs between instances.
+    auto set_server_limits(server_limit_mode mode, std::uint64_t seed) -> void;
     /// The group has no primary: `at` contains all acknowledged writes until there is a new one.
     auto set_final_position(time_point now, const group_id& group, position at) -> void;
     /// A log position that the group's primary reported after `asked_at` to another instance with a permit.
--- a/src/libcitronlug/server_pool.cpp
+++ b/src/libcitronlug/server_pool.cpp
@@ -158,10 +158,11 @@
         sum += use.total() < limit_of(server, now) || use.idle > 0 ? connect_time
                                                                    : status.average_latency + connect_time;
     }
-    if (server.domain != own_domain_) {
-        sum += cross_domain_latency;
-    }
-    return sum;
+    return sum + distance_to(server);
+}
+
+auto server_pool::distance_to(const backend_server& server) const -> duration {
+    return server.domain == own_domain_ ? duration{} : cross_domain_latency;
 }
 
 auto server_pool::has_idle(const server_id& server, const account_id& account) const -> bool {
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -182,6 +182,7 @@
         pool_.health(work.server).unusable_until = now + demoted_primary_pause;
     } else if (code == session_error::busy) {
         pool_.on_queue_full(work.server, now);
+        choice_.on_rejected(work.server);
     }
     if (had_begun) {
         sessions_.at(work.caller).transaction->connection = 0;
@@ -206,6 +207,13 @@
     record_position(now, work, answer);
     // Immediate refusals, such as by a full server, must not distort the service time.
     if (!answer.error || !was_not_run(answer.error->code)) {
+        const auto failed = answer.error && (answer.error->code == session_error::failed ||
+                                             answer.error->code == session_error::timed_out);
+        if (failed) {
+            choice_.on_failure(work.server, now);
+        } else if (server_limits_ != server_limit_mode::off && !answer.error) {
+            choice_.on_answer(work.server, kind_of(work), now - work.sent_at, pool_.busy(work.server), now);
+        }
         pool_.on_answer(work.server, now - work.sent_at, now);
         auto& mean = mean_service_times_.try_emplace(work.route->name, now - work.sent_at).first->second;
         mean = std::chrono::duration_cast<duration>(mean * (1 - service_time_weight) +
@@ -271,6 +279,7 @@
         pool_.health(work.server).unusable_until = now + demoted_primary_pause;
     } else if (code == session_error::busy) {
         pool_.on_queue_full(work.server, now);
+        choice_.on_rejected(work.server);
     }
     if (work.in_transaction) {
         const auto is_commit = work.statement.verb == session_verb::commit;
@@ -312,6 +321,9 @@
 auto session_proxy::implementation::on_attempt_lost(time_point now, statement_work& work,
                                                     std::string_view reason, bool was_sent) -> void {
     work.connection = 0;
+    if (was_sent) {
+        choice_.on_failure(work.server, now);
+    }
     if (work.caller == 0) {
         active_work_.erase(work.id);
         return;
@@ -475,6 +487,7 @@
         effects_.close_server(id);
         on_server_lost(now, id, connection_loss::closed);
     }
+    choice_.set_servers(servers);
     for (auto& [id, group] : groups_) {
         dispatch_queued(now, id);
     }
--- a/src/libcitronlug/session_proxy.cpp
+++ b/src/libcitronlug/session_proxy.cpp
@@ -427,6 +427,11 @@
     impl_->set_instances(now, live);
 }
 
+auto session_proxy::set_server_limits(server_limit_mode mode, std::uint64_t seed) -> void {
+    impl_->server_limits_ = mode;
+    impl_->choice_ = server_choice{seed};
+}
+
 auto session_proxy::set_final_position(time_point now, const group_id& group, position at) -> void {
     impl_->group_of(group).samples.seal(at);
     impl_->dispatch_queued(now, group);
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -3,6 +3,7 @@
 #include <citronlug/plugin.h>
 #include <citronlug/queue_policy.h>
 #include <citronlug/read_freshness.h>
+#include <citronlug/server_choice.h>
 #include <citronlug/server_pool.h>
 #include <citronlug/session_proxy.h>
 
@@ -92,6 +93,11 @@
     connection_id opening_connection = 0; ///< connection being opened for it
 };
 
+/// Statements of the same kind have similar service times.
+inline auto kind_of(const statement_work& work) -> std::string {
+    return work.route->name + ' ' + std::string{name_of(work.statement.verb)};
+}
+
 /// State of one group as seen by this instance.
 struct group_state {
     primary_view primary;
@@ -143,6 +149,9 @@
     auto check_start(time_point now, statement_work& work) -> start_check;
     auto assign_connection(time_point now, statement_work& work) -> bool;
     auto candidates_of(time_point now, const statement_work& work) -> std::vector<const backend_server*>;
+    /// True if servers of this group are chosen by what was learned about them.
+    auto learns_limits(const group_id& group) const -> bool;
+    auto report_server_limits(time_point now) -> void;
     auto requirement_of(const statement_work& work) -> read_requirement;
     auto may_use_primary(time_point now, const group_state& group) const -> bool;
     /// True if this instance lost its permit for a reason other than a change of primary; other instances
@@ -209,6 +218,9 @@
     session_effects& effects_;
     metrics& counters_;
     server_pool pool_;
+    server_limit_mode server_limits_ = server_limit_mode::off;
+    server_choice choice_{0};
+    time_point server_limits_reported_at_;
     account_limiter limiter_;
     std::shared_ptr<const desired_state> rules_;
     std::map<group_id, group_state> groups_;
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -49,6 +49,8 @@
 /// An instance isolated from all primaries for this time is not ready for new callers. Shorter outages end
 /// before the load balancer would notice.
 constexpr auto not_ready_after = duration{1s};
+/// Interval of the gauges of servers. Much shorter than the usual intervals of scrapes.
+constexpr auto server_report_interval = duration{500ms};
 /// Assumed service time of a statement before one has been measured.
 constexpr auto default_service_time = duration{30ms};
 
@@ -246,6 +248,8 @@
                    : std::vector<const backend_server*>{};
     }
     const auto by_replica = requirement_of(work).replica_allowed;
+    const auto learned = learns_limits(work.route->group);
+    auto options = std::vector<placement_option>{};
     auto found = std::vector<std::pair<duration, const backend_server*>>{};
     for (const auto* it : pool_.servers_of(work.route->group)) {
         const auto is_primary = has_permit && it->id == group.primary.primary;
@@ -255,9 +259,17 @@
             continue;
         }
         if (const auto time = pool_.estimate(*it, work.account, now)) {
-            found.emplace_back(*time + (is_primary ? primary_read_penalty : duration{}), it);
+            const auto penalty = is_primary ? primary_read_penalty : duration{};
+            found.emplace_back(*time + penalty, it);
+            if (learned) {
+                options.push_back({it, pool_.busy(it->id), pool_.has_idle(it->id, work.account),
+                                   penalty + pool_.distance_to(*it)});
+            }
         }
     }
+    if (learned) {
+        return choice_.order(work.id, kind_of(work), std::move(options), now);
+    }
     std::sort(found.begin(), found.end());
     auto ordered = std::vector<const backend_server*>{};
     for (const auto& [time, it] : found) {
@@ -266,20 +278,52 @@
     return ordered;
 }
 
+auto session_proxy::implementation::learns_limits(const group_id& group) const -> bool {
+    return server_limits_ == server_limit_mode::on ||
+           (server_limits_ == server_limit_mode::automatic && pool_.servers_of(group).size() >= 2);
+}
+
+auto session_proxy::implementation::report_server_limits(time_point now) -> void {
+    if (server_limits_ == server_limit_mode::off ||
+        now - server_limits_reported_at_ < server_report_interval) {
+        return;
+    }
+    server_limits_reported_at_ = now;
+    for (const auto& it : choice_.servers(now)) {
+        counters_.set("citronlug_server_limit", {{"server", it.id.value}}, it.limit);
+        counters_.set("citronlug_server_latency_seconds", {{"server", it.id.value}},
+                      std::chrono::duration<double>{it.latency}.count());
+    }
+    for (const auto& it : choice_.changed_limits(now)) {
+        log(log_level::info, log_event::server_limit_changed,
+            {{"server", it.id.value},
+             {"limit", fmt::format("{:.1f}", it.limit)},
+             {"latency_ms", std::to_string(it.latency / 1ms)}});
+    }
+}
+
 auto session_proxy::implementation::check_start(time_point now, statement_work& work) -> start_check {
     if (work.needs_primary && !may_use_primary(now, group_of(work.route->group))) {
         return start_check::blocked;
     }
     const auto candidates = candidates_of(now, work);
-    if (std::any_of(candidates.begin(), candidates.end(),
-                    [&](const auto* server) { return pool_.has_idle(server->id, work.account); })) {
+    const auto has_idle = [&](const auto* server) {
+        return pool_.has_idle(server->id, work.account);
+    };
+    const auto any_idle = std::any_of(candidates.begin(), candidates.end(), has_idle);
+    const auto* opening = pool_.find(work.opening_connection);
+    const auto is_opening = opening != nullptr && opening->phase == connection_phase::opening;
+    if (any_idle && !may_wait_for_better(learns_limits(work.route->group), candidates, has_idle,
+                                         is_opening ? now - opening->opened_at : duration{})) {
         return start_check::start;
     }
-    const auto* opening = pool_.find(work.opening_connection);
-    if (opening != nullptr && opening->phase == connection_phase::opening) {
+    if (is_opening) {
         return start_check::skip;
     }
     for (const auto* server : candidates) {
+        if (any_idle && has_idle(server)) {
+            return start_check::start;
+        }
         const auto opened = pool_.open(*server, work.account, now);
         if (opened.evicted != 0) {
             effects_.close_server(opened.evicted);
@@ -287,7 +331,7 @@
         if (opened.connection != 0) {
             work.opening_connection = opened.connection;
             effects_.open_server(opened.connection, *server, work.account);
-            break;
+            return start_check::skip;
         }
     }
     return start_check::skip;
@@ -528,6 +572,7 @@
     for (const auto id : pool_.surplus(now)) {
         close_connection(id);
     }
+    report_server_limits(now);
     for (auto& [id, work] : active_work_) {
         const auto& group = group_of(work.route->group);
         // Work that has not been sent yet will run at the new primary.
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -101,6 +101,7 @@
         return fmt::format("cannot listen on {} for readiness checks and {} for metrics",
                            settings_.ready_address, settings_.metrics_address);
     }
+    proxy_.set_server_limits(settings_.server_limits, run_);
     update_store_watches(clock_now());
     QObject::connect(&timer_, &QTimer::timeout, this, [this] { on_tick(); });
     timer_.start(tick_interval_ms);
