Test that reads leave a failing server when limits are learned

Cause: the placement had tests, but its use by the proxy had none.

Change: a replica that fails each read gets at least 35 of 40 reads with off and at most 15 with auto, and the gauges exist only with auto.

--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -589,6 +589,38 @@
     CHECK_FALSE(sent.request.required_position.has_value());
 }
 
+// Guards against reads that keep going to a server that fails them, and against limits that no operator sees.
+TEST(session_reads, avoid_a_failing_server_with_learned_limits_only) {
+    const auto sent_to_failing_replica = [&](server_limit_mode mode) {
+        proxy.set_server_limits(mode, 7);
+        proxy.set_servers(now, {make_server(primary), make_server(replica)});
+        auto count = 0;
+        for (auto n = 0; n < 40; ++n) {
+            now += 20ms;
+            proxy.add_position(now, group, now - 100ms, {3, 100});
+            proxy.set_primary(now, make_view(1, primary));
+            proxy.on_statement(now, 1, make_statement(session_verb::read, "q1", "READ a"));
+            open_pending_connections();
+            while (!effects.requests.empty()) {
+                const auto at = next_request().connection;
+                now += 10ms;
+                const auto fails = effects.opened.at(at) == replica;
+                count += fails ? 1 : 0;
+                answer_request(at, fails ? make_error(session_error::failed, transaction_state::idle)
+                                         : make_answer(transaction_state::idle));
+                open_pending_connections();
+            }
+        }
+        proxy.on_tick(now);
+        return count;
+    };
+    start_session(1, "browse");
+    CHECK(sent_to_failing_replica(server_limit_mode::off) >= 35);
+    CHECK_FALSE(counters.text().find("citronlug_server_limit") != std::string::npos);
+    CHECK(sent_to_failing_replica(server_limit_mode::automatic) <= 15);
+    CHECK(counters.text().find("citronlug_server_limit{server=\"" + replica.value) != std::string::npos);
+}
+
 // Guards against a read that does not see the session's own write.
 TEST(session_reads, require_position_of_own_write_at_replica) {
     start_session(1, "approve");
