Name the conversion that clang-tidy refuses in the test of server_choice

Cause: clang-tidy reports a narrowing conversion in the perfect placement of the simulation.

Change: the conversion is explicit.

Result: server_choice_test passes.

--- a/src/libcitronlug/server_limits/server_choice_test.cpp
+++ b/src/libcitronlug/server_limits/server_choice_test.cpp
@@ -227,7 +227,8 @@
             for (auto& server : servers_) {
                 const auto ahead = server.running + server.queue.size();
                 auto time = time_of(server, it.length) * (1 + ahead / server.entry.slots);
-                time += server.real.failing > 0 || (ahead + 1 > server.real.knee) ? 100ms : 0ms;
+                time += server.real.failing > 0 || (static_cast<double>(ahead + 1) > server.real.knee) ? 100ms
+                                                                                                       : 0ms;
                 if (time < best_time) {
                     best = &server;
                     best_time = time;
