Keep what is in force when the store comes back from an older copy

Cause: a restored store gives revisions out again and lacks leases, primary records and registrations that it acknowledged. A former holder named in the copy could take itself for the holder, and a conditional write could match by chance.

Change: store_history judges each answer by its era; guarded_store applies it to all calls. The records hold the era in which they were written.

Result: unit tests of the kernel, the session instance and the adapter pass; no tests of restored stores yet.

--- a/src/include/citronlug/primary_coordinator.h
+++ b/src/include/citronlug/primary_coordinator.h
@@ -55,6 +55,17 @@
     /// The lease holder has answered a report sent at `asked_at` with these values of its lease record.
     auto on_holder_answer(time_point asked_at, std::uint64_t fencing_token, std::uint64_t renewals) -> void;
 
+    /// The store states this era. `restored`: it has come back from an older copy, so that its revisions mean
+    /// nothing any more; the lease and the primary records known here stay in force.
+    auto on_store_era(time_point now, std::uint64_t era, bool restored) -> void;
+    /// A coordinator with this token exists or existed.
+    auto on_token_seen(std::uint64_t fencing_token) -> void;
+    /// Highest token of any coordinator that this instance has heard of.
+    [[nodiscard]] auto highest_fencing_token() const -> std::uint64_t;
+    /// True while this instance coordinates but still asks the others for the primary records that they know,
+    /// because the store came back older. No permission may be given meanwhile.
+    [[nodiscard]] auto is_collecting(time_point now) const -> bool;
+
     /// Returns the actions that are due.
     [[nodiscard]] auto on_tick(time_point now) -> std::vector<coordinator_action>;
     /// Hands the lease over to an instance that reported recently, or releases it if there is none.
--- a/src/include/citronlug/store_mirror.h
+++ b/src/include/citronlug/store_mirror.h
@@ -100,6 +100,9 @@
     /// Abandons the watch in flight and lists all records again, at once, because this copy may lack a
     /// change.
     auto list_again() -> void;
+    /// The store has come back from an older copy, and its revisions are given out again: abandons the call
+    /// in flight and lists all records. The present records stay until that listing is complete.
+    auto drop_revisions() -> void;
 
 private:
     duration watch_wait_;
--- a/src/libcitronlug/coordination.cpp
+++ b/src/libcitronlug/coordination.cpp
@@ -35,6 +35,13 @@
     return object[QLatin1String{name}].toString().toULongLong();
 }
 
+/// Records of a store without eras stay as they were.
+auto add_era(QJsonObject& object, std::uint64_t era) -> void {
+    if (era != 0) {
+        object["era"] = QString::number(era);
+    }
+}
+
 auto parse_object(const std::string& text) -> std::optional<QJsonObject> {
     const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(text));
     return document.isObject() ? std::optional{document.object()} : std::nullopt;
@@ -66,20 +73,22 @@
 }
 
 auto to_text(const coordinator_lease& record) -> std::string {
-    return to_compact_json({{"holder", to_qstring(record.holder.value)},
-                            {"run", QString::number(record.run)},
-                            {"token", QString::number(record.fencing_token)},
-                            {"renewals", QString::number(record.renewals)},
-                            {"peer_address", to_qstring(record.peer_address)},
-                            {"peer_secret", to_qstring(record.peer_secret)}});
+    auto object = QJsonObject{
+        {"holder", to_qstring(record.holder.value)},       {"run", QString::number(record.run)},
+        {"token", QString::number(record.fencing_token)},  {"renewals", QString::number(record.renewals)},
+        {"peer_address", to_qstring(record.peer_address)}, {"peer_secret", to_qstring(record.peer_secret)}};
+    add_era(object, record.era);
+    return to_compact_json(object);
 }
 
 auto to_text(const primary_record& record) -> std::string {
-    return to_compact_json({{"primary", to_qstring(record.primary.value)},
-                            {"term", QString::number(record.term)},
-                            {"generation", QString::number(record.generation)},
-                            {"changing", record.changing},
-                            {"candidate", to_qstring(record.candidate.value)}});
+    auto object = QJsonObject{{"primary", to_qstring(record.primary.value)},
+                              {"term", QString::number(record.term)},
+                              {"generation", QString::number(record.generation)},
+                              {"changing", record.changing},
+                              {"candidate", to_qstring(record.candidate.value)}};
+    add_era(object, record.era);
+    return to_compact_json(object);
 }
 
 auto parse_coordinator_lease(const std::string& from) -> std::optional<coordinator_lease> {
@@ -92,7 +101,8 @@
                              read_uint64(*object, "token"),
                              read_uint64(*object, "renewals"),
                              (*object)["peer_address"].toString().toStdString(),
-                             (*object)["peer_secret"].toString().toStdString()};
+                             (*object)["peer_secret"].toString().toStdString(),
+                             read_uint64(*object, "era")};
 }
 
 auto parse_primary(const std::string& from) -> std::optional<primary_record> {
@@ -101,9 +111,11 @@
         return std::nullopt;
     }
     return primary_record{server_id{(*object)["primary"].toString().toStdString()},
-                          read_uint64(*object, "term"), read_uint64(*object, "generation"),
+                          read_uint64(*object, "term"),
+                          read_uint64(*object, "generation"),
                           (*object)["changing"].toBool(),
-                          server_id{(*object)["candidate"].toString().toStdString()}};
+                          server_id{(*object)["candidate"].toString().toStdString()},
+                          read_uint64(*object, "era")};
 }
 
 auto primary_record_name(const group_id& group) -> std::string {
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -1,6 +1,7 @@
 #include <citronlug/primary_coordinator.h>
 
 #include <citronlug/log_events.h>
+#include <citronlug/store_history.h>
 
 #include <fmt/format.h>
 
@@ -55,6 +56,10 @@
 /// Minimum time between two changes of primary in a group, unless the primary is draining.
 constexpr auto change_cooldown = duration{3s};
 constexpr auto list_retry_interval = duration{300ms};
+/// After the store came back older, its list of instances may lack some for this time: they register within
+/// `registration_spread`, and what they were permitted before lapses in `permission_lifetime`; the rest
+/// covers drift and failed writes.
+constexpr auto registration_recovery = registration_spread + permission_lifetime + duration{1s};
 /// Number of orders to step down sent to a superseded primary, one per probe interval.
 constexpr auto step_down_attempts = std::uint32_t{10};
 
@@ -65,7 +70,8 @@
     choosing_successor,
     writing_candidate,
     promoting,
-    writing_result
+    writing_result,
+    writing_restored ///< over a restored or missing record
 };
 
 struct tracked_server {
@@ -81,7 +87,9 @@
 
 struct coordinated_group {
     primary_record record;
-    std::uint64_t revision = 0; ///< 0: there is no record
+    std::uint64_t revision = 0;        ///< 0: the store has no record, as far as is known
+    bool is_carried = false;           ///< `record` is known although the store may have lost it
+    std::uint64_t generation_step = 1; ///< to the next change
     change_phase phase = change_phase::steady;
     std::string reason;
     bool planned = false;
@@ -107,6 +115,8 @@
     server_id old_primary; ///< to be stepped down
     std::uint32_t step_downs_left = 0;
     time_point missing_since;
+
+    [[nodiscard]] auto has_record() const -> bool { return revision != 0 || is_carried; }
 };
 
 } // namespace
@@ -129,6 +139,11 @@
         tick_lease(now);
         const auto coordinating = is_coordinating(now);
         if (coordinating != was_coordinating_) {
+            if (coordinating && needs_collection()) {
+                collecting_until_ = now + record_collection_time;
+                registrations_complete_at_ = now + registration_recovery;
+            }
+            took_restored_lease_ = took_restored_lease_ && !coordinating;
             was_coordinating_ = coordinating;
             emit(coordinating ? log_event::duty_taken : log_event::duty_lost, {},
                  fmt::format("token={} renewals={}", lease_ ? lease_->fencing_token : 0,
@@ -141,7 +156,7 @@
                 }
             }
         }
-        if (coordinating) {
+        if (coordinating && !is_collecting(now)) {
             for (auto& [id, group] : groups_) {
                 tick_group(now, id, group);
             }
@@ -164,7 +179,70 @@
         return has_valid_lease(now) && primaries_confirmed_at_ < holder_since_;
     }
 
-    [[nodiscard]] auto needs_lease_record() const -> bool { return !lease_ || lease_write_uncertain_; }
+    [[nodiscard]] auto needs_lease_record() const -> bool {
+        return !lease_ || lease_write_uncertain_ ||
+               (is_lease_restored_ && lease_confirmed_at_ < time_point{});
+    }
+
+    auto on_store_era(time_point now, std::uint64_t era, bool restored) -> void {
+        era_ = era;
+        if (!restored) {
+            return;
+        }
+        era_since_ = now;
+        registrations_complete_at_ = now + registration_recovery;
+        is_lease_restored_ = true;
+        lease_revision_ = 0;
+        lease_confirmed_at_ = time_point{} - 1h;
+        lease_unchanged_since_ = now;
+        lease_requested_at_ = now - renewal_interval;
+        pending_lease_.reset();
+        lease_write_uncertain_ = false;
+        for (auto& [id, group] : groups_) {
+            group.is_carried = group.has_record();
+            group.revision = 0;
+            group.phase = change_phase::steady; // continued from the record once it is written again
+            group.write_pending = false;
+        }
+    }
+
+    /// True if the records in the store may lack changes that other instances know.
+    [[nodiscard]] auto needs_collection() const -> bool {
+        return took_restored_lease_ || std::any_of(groups_.begin(), groups_.end(), [&](const auto& it) {
+                   return it.second.has_record() && is_restored(it.second.record.era, era_);
+               });
+    }
+
+    [[nodiscard]] auto is_collecting(time_point now) const -> bool {
+        return is_coordinating(now) &&
+               (now < collecting_until_ || (!was_coordinating_ && needs_collection()));
+    }
+
+    auto on_record_removed(const group_id& id) -> void {
+        const auto it = groups_.find(id);
+        if (it == groups_.end()) {
+            return;
+        }
+        // The first listing after the store came back older lacks records that still count.
+        if (it->second.has_record() && primaries_confirmed_at_ < era_since_) {
+            it->second.is_carried = true;
+            it->second.revision = 0;
+            return;
+        }
+        groups_.erase(it);
+    }
+
+    /// The record with the highest generation among the store and the reports counts.
+    auto on_known_records(const std::vector<known_record>& records) -> void {
+        for (const auto& it : records) {
+            auto& group = groups_[it.group];
+            if (it.record.generation > group.record.generation) {
+                group.is_carried = group.is_carried || group.revision == 0;
+                group.record = it.record;
+                group.record.era = 0; // to be written again
+            }
+        }
+    }
 
     /// The instance that the lease is handed over to: the one with the most processor time, because all
     /// instances connect to the next coordinator at once; among equals the one that started last, because a
@@ -194,6 +272,7 @@
                 next = {heir->instance,     heir->run,          lease_->fencing_token + 1, 0,
                         heir->peer_address, lease_->peer_secret};
             }
+            next.era = era_;
             actions.emplace_back(write_record{coordinator_lease_name, to_text(next), lease_revision_});
         }
         has_left_ = true;
@@ -214,19 +293,40 @@
         }
         auto& group = groups_[*id];
         if (revision > group.revision) {
+            const auto counts =
+                era_ != 0 && group.has_record() ? newer_primary(group.record, *record, era_) : *record;
             group.revision = revision;
-            if (*record != group.record && group.phase != change_phase::steady && !group.write_pending) {
+            group.is_carried = false;
+            if (counts != group.record && group.phase != change_phase::steady && !group.write_pending) {
                 group.phase = change_phase::steady; // another coordinator has written it
             }
-            group.record = *record;
+            group.record = counts;
         }
     }
 
     auto on_lease_record(time_point now, const std::string& value, std::uint64_t revision) -> void {
-        const auto record = parse_coordinator_lease(value);
+        auto record = parse_coordinator_lease(value);
         if (!record || revision <= lease_revision_) {
             return;
         }
+        highest_token_ = std::max(highest_token_, record->fencing_token);
+        const auto is_copy = is_restored(record->era, era_);
+        if (lease_ && era_ != 0) {
+            const auto is_lower = record->fencing_token < lease_->fencing_token;
+            if ((is_copy && record->fencing_token <= lease_->fencing_token && lease_->era != 0) ||
+                (is_lower && has_valid_lease(now))) {
+                // The lease known here counts. The holder writes it again over this record.
+                lease_revision_ = revision;
+                lease_unchanged_since_ = now;
+                lease_write_uncertain_ = false;
+                is_lease_restored_ = true;
+                return;
+            }
+            if (is_copy) {
+                record->peer_secret = lease_->peer_secret; // the one that the instances use
+            }
+        }
+        is_lease_restored_ = is_copy;
         if (!lease_ || record->fencing_token != lease_->fencing_token) {
             holder_since_ = now;
         }
@@ -235,7 +335,7 @@
         lease_unchanged_since_ = observed_since(now);
         lease_write_uncertain_ = false;
         if (pending_lease_ && record->holder == self_ && record->run == run_ &&
-            record->renewals == pending_lease_->renewals &&
+            record->renewals == pending_lease_->renewals && record->era == pending_lease_->era &&
             record->fencing_token == pending_lease_->fencing_token) {
             // The pending write took effect although its answer was lost.
             lease_valid_until_ =
@@ -253,6 +353,8 @@
                         holder_since_ = now;
                     }
                     lease_ = *pending_lease_;
+                    highest_token_ = std::max(highest_token_, lease_->fencing_token);
+                    is_lease_restored_ = false;
                     lease_revision_ = revision;
                     lease_unchanged_since_ = now;
                 }
@@ -279,6 +381,7 @@
         }
         if (revision > group.revision) {
             group.revision = revision;
+            group.is_carried = false;
             group.record = pending_records_[*id];
         }
         on_group_written(now, *id, group);
@@ -309,6 +412,9 @@
                  fmt::format("generation={} primary={} term={}", group.record.generation,
                              group.record.primary.value, group.record.term));
             break;
+        case change_phase::writing_restored:
+            group.phase = change_phase::steady;
+            break;
         default:
             break;
         }
@@ -381,6 +487,10 @@
 
     auto on_report(time_point now, const instance_report& report) -> void {
         reports_.insert_or_assign(report.instance, std::pair{now, report});
+        on_token_seen(now, report.highest_fencing_token);
+        if (is_collecting(now)) {
+            on_known_records(report.known_records);
+        }
         // Kept apart from the reports because those of a restarted instance lack its earlier writes.
         for (const auto& it : report.groups) {
             const auto known = groups_.find(it.group);
@@ -396,6 +506,16 @@
         }
     }
 
+    /// Of two leases, the one with the higher token counts; the holder of the lower one gives up.
+    auto on_token_seen(time_point now, std::uint64_t token) -> void {
+        highest_token_ = std::max(highest_token_, token);
+        if (era_ != 0 && has_valid_lease(now) && token > lease_->fencing_token) {
+            lease_valid_until_ = {};
+            is_lease_restored_ = true;
+            lease_unchanged_since_ = now;
+        }
+    }
+
     [[nodiscard]] auto has_reported_recently(time_point now, const instance_id& instance) const -> bool {
         const auto it = reports_.find(instance);
         return it != reports_.end() && now - it->second.first < report_validity;
@@ -414,8 +534,9 @@
     /// Since when the lease record is known to be unchanged: the holder may have confirmed the same values
     /// before the record was read.
     [[nodiscard]] auto observed_since(time_point now) const -> time_point {
-        const auto confirmed_by_holder =
-            lease_ && answered_token_ == lease_->fencing_token && answered_renewals_ == lease_->renewals;
+        const auto confirmed_by_holder = lease_ && !is_lease_restored_ &&
+                                         answered_token_ == lease_->fencing_token &&
+                                         answered_renewals_ == lease_->renewals;
         return confirmed_by_holder ? std::min(now, answered_request_at_) : now;
     }
 
@@ -444,10 +565,28 @@
             return;
         }
         pending_lease_.reset();
-        const auto is_holder = lease_ && lease_->holder == self_ && lease_->run == run_;
+        // A restored copy gives the lease to nobody; its holder keeps it until it ends by time.
+        const auto is_holder = lease_ && lease_->holder == self_ && lease_->run == run_ &&
+                               (!is_lease_restored_ || now < lease_valid_until_);
+        if (is_lease_restored_ && lease_confirmed_at_ < time_point{}) {
+            return; // the revision of the record is not known
+        }
         if (!is_holder && now - lease_confirmed_at_ > confirmation_validity) {
             return; // the holder may have renewed it since the last reading
         }
+        // A store of era 1 has never come back older, so a missing record was never written.
+        if (!is_holder && (is_lease_restored_ || (!lease_ && era_ > 1))) {
+            if (now - std::max(lease_unchanged_since_, lease_first_confirmed_at_) >=
+                coordinator_lease_duration + takeover_margin + acquisition_delay_) {
+                const auto known = std::max(highest_token_, lease_ ? lease_->fencing_token : 0);
+                took_restored_lease_ = true;
+                write_lease(now,
+                            {self_, run_, known + restored_number_step, 1, peer_address_,
+                             lease_ ? lease_->peer_secret : new_secret_},
+                            lease_revision_);
+            }
+            return;
+        }
         if (!lease_) {
             if (now - lease_first_confirmed_at_ >= acquisition_delay_) {
                 write_lease(now, {self_, run_, 1, 1, peer_address_, new_secret_}, 0);
@@ -473,7 +612,8 @@
         }
     }
 
-    auto write_lease(time_point now, const coordinator_lease& next, std::uint64_t expected) -> void {
+    auto write_lease(time_point now, coordinator_lease next, std::uint64_t expected) -> void {
+        next.era = era_;
         pending_lease_ = next;
         lease_requested_at_ = now;
         actions_.emplace_back(write_record{coordinator_lease_name, to_text(next), expected});
@@ -481,6 +621,7 @@
 
     auto write_group(time_point now, const group_id& id, coordinated_group& group, primary_record next,
                      change_phase phase) -> void {
+        next.era = era_;
         group.phase = phase;
         group.phase_since = now;
         group.write_pending = true;
@@ -614,6 +755,14 @@
         if (group.write_pending) {
             return;
         }
+        if (group.has_record() && is_restored(group.record.era, era_)) {
+            // The revision in the store is known after the first listing of the era.
+            if (primaries_confirmed_at_ >= era_since_ && now - group.written_at >= promotion_retry_interval) {
+                group.generation_step = restored_number_step;
+                write_group(now, id, group, group.record, change_phase::writing_restored);
+            }
+            return;
+        }
         if (group.revision == 0) {
             record_initial_primary(now, id, group);
             return;
@@ -659,7 +808,8 @@
             return;
         }
         if (leader != nullptr && (all_known || now - group.missing_since > status_wait * 2)) {
-            write_group(now, id, group, {leader->entry.id, leader->status->term, 1, false, {}},
+            const auto generation = era_ > 1 ? restored_number_step : 1;
+            write_group(now, id, group, {leader->entry.id, leader->status->term, generation, false, {}},
                         change_phase::writing_result);
         }
     }
@@ -707,7 +857,7 @@
         group.reason = reason;
         group.planned = leaving;
         auto next = group.record;
-        ++next.generation;
+        next.generation += std::exchange(group.generation_step, 1);
         next.changing = true;
         next.candidate = {};
         write_group(now, id, group, next, change_phase::writing_intent);
@@ -737,8 +887,9 @@
                                           group_entry.released_generation >= group.record.generation;
                                });
         };
-        const auto all = group.awaited_instances && std::all_of(group.awaited_instances->begin(),
-                                                                group.awaited_instances->end(), has_released);
+        const auto all =
+            now >= registrations_complete_at_ && group.awaited_instances &&
+            std::all_of(group.awaited_instances->begin(), group.awaited_instances->end(), has_released);
         if (!all && now < group.permissions_end) {
             return;
         }
@@ -932,9 +1083,16 @@
     time_point holder_since_;            ///< when the present holder was first observed
     bool lease_write_uncertain_ = false; ///< the last write of the lease may have taken effect
     bool was_coordinating_ = false;
+    bool is_lease_restored_ = false;   ///< the store's record is a restored copy, missing or not read yet
+    bool took_restored_lease_ = false; ///< and has not coordinated since
+    std::uint64_t era_ = 0;            ///< of the store; 0: not stated
+    time_point era_since_ = time_point{} - 2h; ///< when the store was first seen to have come back older
+    time_point collecting_until_;
+    time_point registrations_complete_at_; ///< before, the store's list of instances may lack some
     bool has_left_ = false;
 
 public:
+    std::uint64_t highest_token_ = 0; ///< of any coordinator
     time_point lease_first_confirmed_at_;
     time_point lease_unchanged_since_; ///< see `observed_since`
 };
@@ -955,10 +1113,26 @@
 auto primary_coordinator::on_record_removed(time_point /*now*/, const std::string& name) -> void {
     const auto id = group_of_record(name);
     if (id) {
-        impl_->groups_.erase(*id);
+        impl_->on_record_removed(*id);
     }
 }
 
+auto primary_coordinator::on_store_era(time_point now, std::uint64_t era, bool restored) -> void {
+    impl_->on_store_era(now, era, restored);
+}
+
+auto primary_coordinator::on_token_seen(std::uint64_t fencing_token) -> void {
+    impl_->highest_token_ = std::max(impl_->highest_token_, fencing_token);
+}
+
+auto primary_coordinator::highest_fencing_token() const -> std::uint64_t {
+    return impl_->highest_token_;
+}
+
+auto primary_coordinator::is_collecting(time_point now) const -> bool {
+    return impl_->is_collecting(now);
+}
+
 auto primary_coordinator::on_primaries_confirmed(time_point asked_at) -> void {
     impl_->primaries_confirmed_at_ = std::max(impl_->primaries_confirmed_at_, asked_at);
 }
@@ -1034,6 +1208,7 @@
 
 auto primary_coordinator::on_holder_answer(time_point asked_at, std::uint64_t fencing_token,
                                            std::uint64_t renewals) -> void {
+    impl_->highest_token_ = std::max(impl_->highest_token_, fencing_token);
     impl_->answered_token_ = fencing_token;
     impl_->answered_renewals_ = renewals;
     impl_->answered_request_at_ = asked_at;
@@ -1053,14 +1228,14 @@
 
 auto primary_coordinator::record_of(const group_id& group) const -> std::optional<primary_record> {
     const auto it = impl_->groups_.find(group);
-    return it == impl_->groups_.end() || it->second.revision == 0 ? std::nullopt
+    return it == impl_->groups_.end() || !it->second.has_record() ? std::nullopt
                                                                   : std::optional{it->second.record};
 }
 
 auto primary_coordinator::records() const -> std::map<group_id, primary_record> {
     auto found = std::map<group_id, primary_record>{};
     for (const auto& [id, it] : impl_->groups_) {
-        if (it.revision != 0) {
+        if (it.has_record()) {
             found[id] = it.record;
         }
     }
--- a/src/libcitronlug/store_mirror.cpp
+++ b/src/libcitronlug/store_mirror.cpp
@@ -53,6 +53,16 @@
     }
 }
 
+auto store_mirror::drop_revisions() -> void {
+    revision_.reset();
+    list_cursor_.clear();
+    call_pending_ = false;
+    not_before_ = {};
+    for (auto& [name, it] : records_) {
+        it.revision = 0; // an equal revision in the next listing would otherwise hide a change
+    }
+}
+
 auto store_mirror::on_answer(time_point now, std::uint64_t call, const store_answer& answer)
     -> std::vector<change> {
     auto changes = std::vector<change>{};
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -135,9 +135,9 @@
         metrics_.count("citronlug_store_calls_total", {{"kind", std::string{name_of(it->kind)}},
                                                        {"call", call->is_watch ? "watch" : "list"}});
         if (call->is_watch) {
-            platform_.store.watch(it->kind, call->revision, call->wait, std::move(done));
+            store_.watch(it->kind, call->revision, call->wait, std::move(done));
         } else {
-            platform_.store.list(it->kind, call->after, std::move(done));
+            store_.list(it->kind, call->after, std::move(done));
         }
     }
 }
@@ -195,6 +195,26 @@
     issue_store_calls(now);
 }
 
+auto session_daemon::on_store_era(std::uint64_t before, std::uint64_t era, bool restored) -> void {
+    const auto now = clock_now();
+    metrics_.set("citronlug_store_era", {}, static_cast<double>(era));
+    coordinator_.on_store_era(now, era, restored);
+    if (!restored) {
+        return;
+    }
+    log(log_level::warning, log_event::store_restored,
+        {{"before", std::to_string(before)}, {"era", std::to_string(era)}});
+    for (auto* it : {&rules_, &servers_, &primaries_}) {
+        it->mirror.drop_revisions();
+    }
+    lease_read_due_ = true;
+    // Permissions in force last longer than the spread, so callers are served meanwhile.
+    registered_ = false;
+    registration_revision_ = 0;
+    const auto spread = static_cast<std::uint64_t>(registration_spread / 1us);
+    register_at_ = now + duration{static_cast<std::int64_t>(random_number() % spread)};
+}
+
 auto session_daemon::is_store_available() const -> bool {
     return primaries_.mirror.is_available() || servers_.mirror.is_available() || rules_.mirror.is_available();
 }
@@ -210,7 +230,7 @@
     reading_lease_ = true;
     next_lease_read_at_ = now + lease_read_interval(fleet_size_);
     metrics_.count("citronlug_store_calls_total", {{"kind", "duty"}, {"call", "list"}});
-    platform_.store.list(record_kind::lease, {}, [this, now](const store_answer& answer) {
+    store_.list(record_kind::lease, {}, [this, now](const store_answer& answer) {
         reading_lease_ = false;
         if (answer.outcome != store_outcome::ok) {
             return; // retried after `lease_read_interval`; the mirrors log that the store is unavailable
@@ -247,6 +267,12 @@
     }
     auto rules = std::make_shared<const desired_state>(std::get<desired_state>(std::move(decoded)));
     if (active_rules_ && rules->version <= active_rules_->version) {
+        if (rules->version < active_rules_->version &&
+            std::exchange(older_rules_logged_, rules->version) != rules->version) {
+            log(log_level::warning, log_event::rules_applied,
+                {{"version", std::to_string(active_rules_->version)},
+                 {"why", fmt::format("the older version {} was ignored", rules->version)}});
+        }
         return;
     }
     active_rules_ = rules;
@@ -354,7 +380,13 @@
     auto evidence = std::map<group_id, reported_primary>{};
     const auto confirmed = primaries_.mirror.confirmed_at();
     for (const auto& [id, record] : coordinator_.records()) {
-        evidence[id] = {coordinating ? now : confirmed.value_or(time_point{}), record};
+        // A restored copy may lack a change of primary, so it gives no permission.
+        const auto is_evidence =
+            coordinating ? !coordinator_.is_collecting(now) : !is_restored(record.era, store_.era());
+        evidence[id] = {!is_evidence   ? time_point{}
+                        : coordinating ? now
+                                       : confirmed.value_or(time_point{}),
+                        record};
     }
     for (const auto& [id, it] : reported_primaries_) {
         auto& known = evidence[id];
@@ -386,37 +418,44 @@
         return;
     }
     registering_ = true;
-    const auto record =
-        store_record{settings_.instance.value,
-                     fmt::format(R"({{"peer_address":"{}","run":"{}"}})", settings_.peer_address, run_), 0};
-    platform_.store.write(
-        record_kind::instances, record, registration_revision_, [this](const store_answer& answer) {
-            const auto answered_at = clock_now();
-            registering_ = false;
-            // The record of an earlier run of this instance, or of this run if the first answer was lost, is
-            // as good if it names the same address.
-            const auto has_record = answer.outcome == store_outcome::conflict && !answer.records.empty() &&
-                                    peer_address_in(answer.records.front()) == settings_.peer_address;
-            if (answer.outcome == store_outcome::ok || has_record) {
-                registered_ = true;
-                registration_revision_ = answer.revision;
-            } else if (answer.outcome == store_outcome::conflict) {
-                registration_revision_ = answer.revision;
-                register_at_ = answered_at;
-            } else {
-                registration_pause_ =
-                    std::clamp(registration_pause_ * 2, registration_retry, max_registration_retry);
-                register_at_ = answered_at + registration_pause_;
-                log(log_level::warning, log_event::dependency_lost,
-                    {{"dependency", "store"}, {"kind", "instances"}, {"why", answer.problem}});
-            }
-        });
+    registration_era_ = store_.era();
+    const auto era =
+        registration_era_ == 0 ? std::string{} : fmt::format(R"(,"era":"{}")", registration_era_);
+    const auto record = store_record{
+        settings_.instance.value,
+        fmt::format(R"({{"peer_address":"{}","run":"{}"{}}})", settings_.peer_address, run_, era), 0};
+    store_.write(record_kind::instances, record, registration_revision_, [this](const store_answer& answer) {
+        const auto answered_at = clock_now();
+        registering_ = false;
+        if (answer.outcome != store_outcome::ok && registration_era_ != 0 &&
+            registration_era_ != store_.era()) {
+            return; // the store came back older meanwhile; written again at `register_at_`
+        }
+        // The record of an earlier run of this instance, or of this run if the first answer was lost, is
+        // as good if it names the same address.
+        const auto has_record = answer.outcome == store_outcome::conflict && !answer.records.empty() &&
+                                peer_address_in(answer.records.front()) == settings_.peer_address &&
+                                !is_restored(era_in(answer.records.front().value), store_.era());
+        if (answer.outcome == store_outcome::ok || has_record) {
+            registered_ = true;
+            registration_revision_ = answer.revision;
+        } else if (answer.outcome == store_outcome::conflict) {
+            registration_revision_ = answer.revision;
+            register_at_ = answered_at;
+        } else {
+            registration_pause_ =
+                std::clamp(registration_pause_ * 2, registration_retry, max_registration_retry);
+            register_at_ = answered_at + registration_pause_;
+            log(log_level::warning, log_event::dependency_lost,
+                {{"dependency", "store"}, {"kind", "instances"}, {"why", answer.problem}});
+        }
+    });
 }
 
 auto session_daemon::list_instances(const std::string& after, std::shared_ptr<instance_addresses> addresses)
     -> void {
     metrics_.count("citronlug_store_calls_total", {{"kind", "instances"}, {"call", "list"}});
-    platform_.store.list(record_kind::instances, after, [this, addresses](const store_answer& answer) {
+    store_.list(record_kind::instances, after, [this, addresses](const store_answer& answer) {
         if (answer.outcome != store_outcome::ok) {
             return; // repeated while it is needed
         }
@@ -446,17 +485,17 @@
         const auto kind = write->name == coordinator_lease_name ? record_kind::lease : record_kind::primaries;
         metrics_.count("citronlug_store_calls_total",
                        {{"kind", std::string{name_of(kind)}}, {"call", "write"}});
-        platform_.store.write(
-            kind, {write->name, write->value, 0}, write->expected_revision,
-            [this, now, name = write->name, value = write->value](const store_answer& answer) {
-                const auto outcome = answer.outcome == store_outcome::ok         ? write_outcome::done
-                                     : answer.outcome == store_outcome::conflict ? write_outcome::conflict
-                                                                                 : write_outcome::unknown;
-                coordinator_.on_written(clock_now(), name, now, outcome, answer.revision);
-                if (leaving_ && name == coordinator_lease_name && outcome == write_outcome::done) {
-                    announce_to_all(*parse_coordinator_lease(value));
-                }
-            });
+        store_.write(kind, {write->name, write->value, 0}, write->expected_revision,
+                     [this, now, name = write->name, value = write->value](const store_answer& answer) {
+                         const auto outcome = answer.outcome == store_outcome::ok ? write_outcome::done
+                                              : answer.outcome == store_outcome::conflict
+                                                  ? write_outcome::conflict
+                                                  : write_outcome::unknown;
+                         coordinator_.on_written(clock_now(), name, now, outcome, answer.revision);
+                         if (leaving_ && name == coordinator_lease_name && outcome == write_outcome::done) {
+                             announce_to_all(*parse_coordinator_lease(value));
+                         }
+                     });
     } else if (std::holds_alternative<struct list_instances>(action)) {
         list_instances({}, std::make_shared<instance_addresses>());
     } else if (const auto* probe = std::get_if<probe_server>(&action)) {
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -35,6 +35,16 @@
         report.groups.push_back(std::move(it));
     }
     report.token_requests = proxy_.limiter().take_requests(now, coordinator);
+    report.highest_fencing_token = coordinator_.highest_fencing_token();
+    // A new coordinator may need them at once, so the first report to it does not wait to be asked.
+    if (store_.era() != 0 && (wants_records_ || answered_token_ != coordinator)) {
+        for (const auto& [id, record] : coordinator_.records()) {
+            report.known_records.push_back({id, record});
+        }
+        for (const auto& [id, record] : reported) {
+            report.known_records.push_back({id, record});
+        }
+    }
     return report;
 }
 
@@ -83,6 +93,9 @@
     }
     const auto answer = report_sender_.expand(*received);
     report_due_ = report_due_ || answer.wants_complete_report;
+    store_.learn(answer.store_era);
+    wants_records_ = answer.wants_records;
+    answered_token_ = answer.fencing_token;
     coordinator_.on_holder_answer(asked_at, answer.fencing_token, answer.renewals);
     proxy_.limiter().on_responses(now, asked_at, answer.fencing_token, answer.tokens);
     proxy_.set_instances(now, answer.instances);
@@ -186,6 +199,8 @@
         answer.rules_age = now - *confirmed;
     }
     answer.servers_version = servers_version_;
+    answer.store_era = store_.era();
+    answer.wants_records = coordinator_.is_collecting(now);
     auto groups = std::vector<group_status>{};
     for (const auto& [id, record] : coordinator_.records()) {
         auto status = group_status{};
@@ -197,7 +212,9 @@
         }
         groups.push_back(std::move(status));
     }
-    report_receiver_.add_groups(now, groups, random_number(), report, answer);
+    if (!answer.wants_records) { // records in an answer are permissions
+        report_receiver_.add_groups(now, groups, random_number(), report, answer);
+    }
     for (const auto& it : report.token_requests) {
         const auto response = token_allocator_.take(now, report.instance, report.run, it);
         if (it.wanted > 0) {
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -44,6 +44,13 @@
 session_daemon::session_daemon(session_settings settings, platform& on)
     : settings_{std::move(settings)}
     , platform_{on}
+    , store_{on.store,
+             {[this](std::uint64_t before, std::uint64_t era, bool restored) {
+                  on_store_era(before, era, restored);
+              },
+              [this] {
+                  metrics_.count("citronlug_store_answers_dropped_total");
+              }}}
     , run_{random_number()}
     , started_at_{clock_now()}
     , log_{settings_.instance, settings_.log_lines_per_s, metrics_, 1}
@@ -74,6 +81,7 @@
              settings_.peer_address,
              {[this](const instance_report& report) { return handle_report(report); },
               [this](const coordinator_lease& lease) {
+                  coordinator_.on_token_seen(lease.fencing_token);
                   if (!announced_lease_ || lease.fencing_token > announced_lease_->fencing_token) {
                       announced_lease_ = lease;
                       report_due_ = true;
@@ -140,7 +148,7 @@
     log(log_level::info, log_event::settings_reloaded,
         {{"changed", settings == settings_ ? "nothing" : "yes"}, {"store", settings.store_address}});
     if (settings.store_address != settings_.store_address) {
-        platform_.store.set_address(settings.store_address);
+        store_.set_address(settings.store_address);
     }
     if (settings.promotion_address != settings_.promotion_address) {
         platform_.promotions.set_address(settings.promotion_address);
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet_link.h"
+#include "guarded_store.h"
 #include "line_socket.h"
 #include "log_writer.h"
 #include "platform.h"
@@ -83,6 +84,8 @@
     /// Watches the store only while this instance coordinates or the coordinator is unreachable; the rules
     /// also while the coordinator cannot tell whether there are newer ones.
     auto update_store_watches(time_point now) -> void;
+    /// `restored`: the store has come back from an older copy.
+    auto on_store_era(std::uint64_t before, std::uint64_t era, bool restored) -> void;
     auto apply_rules(time_point now, const std::string& value) -> void;
     /// Replaces the registered servers by those that `records` describes. Records that describe none are
     /// logged once and not passed on to other instances.
@@ -119,6 +122,7 @@
 
     session_settings settings_;
     platform& platform_;
+    guarded_store store_;
     incarnation run_;
     time_point started_at_;
     metrics metrics_;
@@ -168,6 +172,7 @@
     time_point register_at_;
     duration registration_pause_{};
     std::uint64_t registration_revision_ = 0;
+    std::uint64_t registration_era_ = 0; ///< of the store when the last write of it began
 
     struct reported_primary {
         time_point asked_at;
@@ -178,6 +183,9 @@
     std::optional<coordinator_lease> announced_lease_;
     time_point announced_at_;
     bool fetching_rules_ = false;
+    std::uint64_t older_rules_logged_ = 0; ///< version of ignored rules
+    bool wants_records_ = false;           ///< the coordinator asked for the primary records known here
+    std::uint64_t answered_token_ = 0;     ///< of the coordinator that answered last
     time_point rules_evidence_at_; ///< by the coordinator's word there were no newer rules than its own
     bool is_coordinating_ = false;
     std::uint64_t report_number_ = 0; ///< number of the last report
