--- a/src/sessiond/guarded_store.h
+++ b/src/sessiond/guarded_store.h
@@ -6,8 +6,8 @@
 
 namespace citronlug {
 
-/// The platform's store with each answer judged by its era. The era of an answer is reported before the answer
-/// itself, so that what builds on older revisions has been dropped by then.
+/// The platform's store with each answer judged by its era. The era of an answer is reported before the
+/// answer itself, so that what builds on older revisions has been dropped by then.
 class guarded_store final {
 public:
     struct observers {
