Confirm primary records by complete listings only

Cause: each page of a listing, and an abandoned watch, counted as a confirmation of all primary records. After a restore, records on later pages would then count as missing.

Change: the time of the mirror's last complete confirmation is passed on. Whether a lease record is superseded is decided in store_history.

Result: unit tests of the kernel, the session instance and the adapter pass.

--- a/src/include/citronlug/store_history.h
+++ b/src/include/citronlug/store_history.h
@@ -73,6 +73,11 @@
 [[nodiscard]] auto newer_primary(const primary_record& known, const primary_record& stored,
                                  std::uint64_t store_era) -> primary_record;
 
+/// True if the lease `known` counts and not the one that the store has: a restored copy never supersedes a
+/// lease with at least its token, nor any record the lease of a holder (`holds_known`) with a higher token.
+[[nodiscard]] auto is_superseded(const coordinator_lease& stored, const coordinator_lease& known,
+                                 bool holds_known, std::uint64_t store_era) -> bool;
+
 /// Era in the text of a record; 0 if it states none.
 [[nodiscard]] auto era_in(const std::string& record_text) -> std::uint64_t;
 
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -311,20 +311,15 @@
         }
         highest_token_ = std::max(highest_token_, record->fencing_token);
         const auto is_copy = is_restored(record->era, era_);
-        if (lease_ && era_ != 0) {
-            const auto is_lower = record->fencing_token < lease_->fencing_token;
-            if ((is_copy && record->fencing_token <= lease_->fencing_token && lease_->era != 0) ||
-                (is_lower && has_valid_lease(now))) {
-                // The lease known here counts. The holder writes it again over this record.
-                lease_revision_ = revision;
-                lease_unchanged_since_ = now;
-                lease_write_uncertain_ = false;
-                is_lease_restored_ = true;
-                return;
-            }
-            if (is_copy) {
-                record->peer_secret = lease_->peer_secret; // the one that the instances use
-            }
+        if (lease_ && is_superseded(*record, *lease_, has_valid_lease(now), era_)) {
+            lease_revision_ = revision; // the holder writes its lease again over this record
+            lease_unchanged_since_ = now;
+            lease_write_uncertain_ = false;
+            is_lease_restored_ = true;
+            return;
+        }
+        if (lease_ && is_copy) {
+            record->peer_secret = lease_->peer_secret; // the one that the instances use
         }
         is_lease_restored_ = is_copy;
         if (!lease_ || record->fencing_token != lease_->fencing_token) {
--- a/src/libcitronlug/store_history/store_history.cpp
+++ b/src/libcitronlug/store_history/store_history.cpp
@@ -106,6 +106,17 @@
     return result;
 }
 
+auto is_superseded(const coordinator_lease& stored, const coordinator_lease& known, bool holds_known,
+                   std::uint64_t store_era) -> bool {
+    if (store_era == 0) {
+        return false;
+    }
+    // A record without an era may be of an instance of the previous version, which renews it.
+    const auto is_older_copy =
+        is_restored(stored.era, store_era) && known.era != 0 && stored.fencing_token <= known.fencing_token;
+    return is_older_copy || (holds_known && stored.fencing_token < known.fencing_token);
+}
+
 auto era_in(const std::string& record_text) -> std::uint64_t {
     return QJsonDocument::fromJson(QByteArray::fromStdString(record_text))
         .object()["era"]
--- a/src/libcitronlug/store_history/store_history_test.cpp
+++ b/src/libcitronlug/store_history/store_history_test.cpp
@@ -55,8 +55,8 @@
     std::vector<known_record> known; ///< sent with reports
 
     void setup() override {
-        store.records[coordinator_lease_name] = {
-            to_text(coordinator_lease{{}, 0, 5, 1, "", "secret-a", 1}), store.revision};
+        store.records[coordinator_lease_name] = {to_text(coordinator_lease{{}, 0, 5, 1, "", "secret-a", 1}),
+                                                 store.revision};
         add("a", 1);
         run_for(1s);
         add("b", 2);
@@ -251,9 +251,8 @@
 TEST(store_history, content_of_a_newer_era_does_not_build_on_older_revisions) {
     auto history = store_history{};
     static_cast<void>(history.observe_answer(answer_of(3)));
-    static_cast<void>(
-        history.judge_list(record_kind::instances, {}, history.basis_of_list(record_kind::instances, {}),
-                           answer_of(3)));
+    static_cast<void>(history.judge_list(record_kind::instances, {},
+                                         history.basis_of_list(record_kind::instances, {}), answer_of(3)));
     const auto write = history.basis_of_write();
     const auto watch = history.basis_of_watch();
     CHECK_TRUE(history.observe_answer(answer_of(4)));
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -129,8 +129,8 @@
         if (!call) {
             continue;
         }
-        auto done = [this, it, now, number = call->number](const store_answer& answer) {
-            on_store_answer(*it, number, now, answer);
+        auto done = [this, it, number = call->number](const store_answer& answer) {
+            on_store_answer(*it, number, answer);
         };
         metrics_.count("citronlug_store_calls_total", {{"kind", std::string{name_of(it->kind)}},
                                                        {"call", call->is_watch ? "watch" : "list"}});
@@ -142,8 +142,8 @@
     }
 }
 
-auto session_daemon::on_store_answer(mirrored_kind& it, std::uint64_t call, time_point asked_at,
-                                     const store_answer& answer) -> void {
+auto session_daemon::on_store_answer(mirrored_kind& it, std::uint64_t call, const store_answer& answer)
+    -> void {
     const auto now = clock_now();
     const auto changes = it.mirror.on_answer(now, call, answer);
     if (it.mirror.is_available() != it.was_available) {
@@ -184,7 +184,8 @@
             }
         }
         if (answer.outcome == store_outcome::ok && it.mirror.confirmed_at()) {
-            coordinator_.on_primaries_confirmed(asked_at);
+            // Not `asked_at`: the call may be one page of a listing, or abandoned.
+            coordinator_.on_primaries_confirmed(*it.mirror.confirmed_at());
             apply_primaries(now);
         }
         break;
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -76,8 +76,7 @@
     /// False while the store is unavailable to all mirrors. Only one of them retries then; the lease is still
     /// renewed.
     [[nodiscard]] auto is_store_available() const -> bool;
-    auto on_store_answer(mirrored_kind& it, std::uint64_t call, time_point asked_at,
-                         const store_answer& answer) -> void;
+    auto on_store_answer(mirrored_kind& it, std::uint64_t call, const store_answer& answer) -> void;
     /// Reads the lease record while the coordinator is unreachable. The record is not watched because each
     /// renewal would wake every instance.
     auto read_lease(time_point now) -> void;
