--- /dev/null
+++ b/testsuite/untrusted-http-ready/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Guards against a process killed for its memory by 150 connections to the readiness page with a request head of 1 MiB.
+source "$(dirname "${BASH_SOURCE[0]}")/../hostile.sh"
+hostile_callers http-ready
--- /dev/null
+++ b/testsuite/untrusted-one-address/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Guards against callers locked out by 400 sessions from one address, twice the number of callers that are accepted.
+source "$(dirname "${BASH_SOURCE[0]}")/../hostile.sh"
+hostile_callers one-address
