Refuse large RPC messages of peers that have not authenticated

Anyone on the network can reach the RPC port. The RPC library allocates a message as soon as its size is announced, so 60 connections without the peer secret took 454,416 kB of an instance. A stream between the socket and the library now follows the message frames: at most 4 KiB for a message and 16 KiB in all before authentication, 16 MiB for a message afterwards (was 8 MiB of traversal). When 64 connections are not authenticated, the oldest is closed instead of refusing the new one, so that connections that send nothing keep no peer out.

--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -1,19 +1,26 @@
 #include "peer_server.h"
 
 #include "event_thread.h"
+#include "limited_stream.h"
 #include "peer_codec.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <sodium.h>
 
+#include <limits>
+
 namespace citronlug {
 
 namespace {
 
 constexpr auto max_unauthenticated = 64U;
 constexpr auto max_connections = 1000U;
-/// 8 MB, the maximum size of a message; a request body has at most 1 MB.
-constexpr auto traversal_words = std::uint64_t{1} << 20U;
+/// A peer that has not authenticated sends four short messages: start, challenge, proof and release.
+constexpr auto max_unauthenticated_message = std::uint64_t{4} * 1024;
+constexpr auto max_unauthenticated_bytes = 4 * max_unauthenticated_message;
+/// Largest message of an authenticated peer; a request body has at most 1 MB.
+constexpr auto max_message = std::uint64_t{16} * 1024 * 1024;
+constexpr auto traversal_words = max_message / 8;
 
 /// Returns a promise and a function that fulfils it from any thread.
 template <class Value>
@@ -177,6 +184,8 @@
 /// State of one connection, shared by its gate and its authentication timeout.
 struct connection_state {
     bool is_authenticated = false;
+    std::uint64_t number = 0;
+    receive_limits limits{message_frames{max_unauthenticated_message}, max_unauthenticated_bytes};
 };
 
 class gate_impl final : public wire::Gate::Server {
@@ -206,7 +215,9 @@
             return KJ_EXCEPTION(FAILED, "peer authentication failed: invalid proof of the peer secret");
         }
         connection_->is_authenticated = true;
-        --state_->unauthenticated;
+        connection_->limits.frames.set_limit(max_message);
+        connection_->limits.total_left = std::numeric_limits<std::uint64_t>::max();
+        state_->unauthenticated.erase(connection_->number);
         context.getResults().setPeer(kj::heap<peer_impl>(state_));
         return kj::READY_NOW;
     }
@@ -223,22 +234,24 @@
         : state{std::move(shared)}
         , connection{std::make_shared<connection_state>()}
         , stream{kj::mv(accepted)}
-        , network{*stream, capnp::rpc::twoparty::Side::SERVER,
+        , limited{*stream, connection->limits}
+        , network{limited, capnp::rpc::twoparty::Side::SERVER,
                   capnp::ReaderOptions{.traversalLimitInWords = traversal_words, .nestingLimit = 16}}
         , system{capnp::makeRpcServer(network, kj::heap<gate_impl>(state, connection))} {
-        ++state->unauthenticated;
+        connection->number = ++state->last_connection;
         ++state->connections;
     }
     inbound_connection(const inbound_connection&) = delete;
     auto operator=(const inbound_connection&) -> inbound_connection& = delete;
     ~inbound_connection() {
         --state->connections;
-        state->unauthenticated -= connection->is_authenticated ? 0 : 1;
+        state->unauthenticated.erase(connection->number);
     }
 
     std::shared_ptr<inbound_state> state;
     std::shared_ptr<connection_state> connection;
     kj::Own<kj::AsyncIoStream> stream;
+    limited_stream limited;
     capnp::TwoPartyVatNetwork network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
 };
@@ -265,19 +278,34 @@
 
 auto serve_peer(std::shared_ptr<inbound_state> state, kj::Own<kj::AsyncIoStream> stream, kj::Timer& timer)
     -> kj::Promise<void> {
-    if (state->unauthenticated >= max_unauthenticated || state->connections >= max_connections) {
+    if (state->connections >= max_connections) {
         return kj::READY_NOW; // closes the stream
     }
-    auto served = kj::heap<inbound_connection>(std::move(state), kj::mv(stream));
+    if (state->unauthenticated.size() >= max_unauthenticated) {
+        // The oldest is closed instead of the new one, so that connections that send nothing keep no peer
+        // out.
+        const auto oldest = state->unauthenticated.begin();
+        auto close = kj::mv(oldest->second);
+        state->unauthenticated.erase(oldest);
+        ++state->evicted;
+        close->fulfill();
+    }
+    auto served = kj::heap<inbound_connection>(state, kj::mv(stream));
     auto connection = served->connection;
     auto closed = served->network.onDisconnect();
+    auto evicted = kj::newPromiseAndFulfiller<void>();
+    state->unauthenticated.emplace(connection->number, kj::mv(evicted.fulfiller));
     auto timeout = timer.afterDelay(2 * kj::SECONDS).then([connection]() -> kj::Promise<void> {
         if (connection->is_authenticated) {
             return kj::NEVER_DONE;
         }
         return kj::READY_NOW;
     });
-    return closed.exclusiveJoin(kj::mv(timeout)).attach(kj::mv(served));
+    // The fulfiller is dropped at authentication, which must not end the connection.
+    auto eviction =
+        evicted.promise.then([]() -> kj::Promise<void> { return kj::READY_NOW; },
+                             [](kj::Exception&& /*dropped*/) -> kj::Promise<void> { return kj::NEVER_DONE; });
+    return closed.exclusiveJoin(kj::mv(timeout)).exclusiveJoin(kj::mv(eviction)).attach(kj::mv(served));
 }
 
 } // namespace citronlug
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -5,7 +5,9 @@
 
 #include <kj/async-io.h>
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -24,7 +26,10 @@
     peer_services services;
     std::string key;
     peer_thread_post post;
-    unsigned unauthenticated = 0; ///< connections that have not authenticated yet
+    /// Connections that have not authenticated yet, oldest first, each with what closes it.
+    std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<void>>> unauthenticated;
+    std::uint64_t last_connection = 0;
+    std::uint64_t evicted = 0; ///< unauthenticated connections that were closed for newer ones
     unsigned connections = 0;
     std::uint64_t refused_proofs = 0;
 };
