Limit connections, descriptors and memory of callers and pages

150 callers with messages of 1 MiB took up to 449 MB of an instance, and 400 connections that send nothing, or sessions of one address, kept all others out. The daemon now carries out what caller_admission and memory_budget decide:

- Before the session is accepted a message has at most 4 KiB, as it only names the database and the key.
- At most 64 connections are accepted before others are read.
- citronlug_callers_refused_total has the label why; new: citronlug_caller_bytes, citronlug_page_connections_closed_total; event caller-refused at most once a second for each reason.

--- a/src/include/citronlug/session_proxy.h
+++ b/src/include/citronlug/session_proxy.h
@@ -101,6 +101,8 @@
     /// True while a statement has no answer yet.
     [[nodiscard]] auto has_statements_in_progress() const -> bool;
     [[nodiscard]] auto open_sessions() const -> std::size_t;
+    /// Size of the session values and prepared statements of a caller.
+    [[nodiscard]] auto session_bytes(caller_id caller) const -> std::size_t;
     /// False while this instance has had no permit for any primary for some time, because it reaches neither
     /// the store nor the coordinator. The load balancer should then send new callers to other instances.
     [[nodiscard]] auto can_serve(time_point now) const -> bool;
--- a/src/libcitronlug/session_proxy.cpp
+++ b/src/libcitronlug/session_proxy.cpp
@@ -12,6 +12,8 @@
 constexpr auto shutdown_idle_time = duration{300ms};
 /// Longest wait of a new session for this instance to load its first rules. Callers time out after 2 s.
 constexpr auto pending_start_timeout = duration{1700ms};
+/// Counted for each session value and prepared statement beside its texts: a node of the map.
+constexpr auto session_entry_bytes = std::size_t{128};
 constexpr auto stopping_text = std::string_view{"this instance is stopping; retry now at another instance"};
 
 auto make_answer(transaction_state state) -> session_answer {
@@ -262,16 +264,24 @@
 
 auto session_proxy::implementation::update_session_state(caller_session& session, session_statement statement)
     -> void {
-    switch (statement.verb) {
-    case session_verb::set_value:
-        session.values[statement.name] = statement.body;
-        break;
-    case session_verb::deallocate:
-        session.statements.erase(statement.name);
-        break;
-    default:
-        session.statements[statement.name] = {statement.verb == session_verb::prepare_write, statement.body};
-        break;
+    const auto size_of = [&](const std::string& body) {
+        return statement.name.size() + body.size() + session_entry_bytes;
+    };
+    if (statement.verb == session_verb::set_value) {
+        const auto [it, is_new] = session.values.try_emplace(statement.name);
+        session.state_bytes += size_of(statement.body) - (is_new ? 0 : size_of(it->second));
+        it->second = std::move(statement.body);
+    } else {
+        const auto it = session.statements.find(statement.name);
+        if (it != session.statements.end()) {
+            session.state_bytes -= size_of(it->second.second);
+            session.statements.erase(it);
+        }
+        if (statement.verb != session_verb::deallocate) {
+            session.state_bytes += size_of(statement.body);
+            session.statements[statement.name] = {statement.verb == session_verb::prepare_write,
+                                                  std::move(statement.body)};
+        }
     }
     acknowledge(session);
 }
@@ -495,6 +505,11 @@
     return impl_->sessions_.size();
 }
 
+auto session_proxy::session_bytes(caller_id caller) const -> std::size_t {
+    const auto it = impl_->sessions_.find(caller);
+    return it == impl_->sessions_.end() ? 0 : it->second.state_bytes;
+}
+
 auto session_proxy::can_serve(time_point now) const -> bool {
     return impl_->can_serve(now);
 }
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -37,6 +37,7 @@
     session_failure transaction_failure; ///< valid in state `failed`
     std::map<std::string, std::string> values;
     std::map<std::string, std::pair<bool, std::string>> statements; ///< prepared, by name: writes?, template
+    std::size_t state_bytes = 0;                                    ///< size of `values` and `statements`
     std::map<group_id, position> own_writes; ///< position of the newest acknowledged write
     std::optional<session_transaction> transaction;
     std::uint64_t current_work = 0; ///< statement in progress; 0: none
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -109,6 +109,7 @@
     }
     proxy_.on_tick(now);
     probes_.on_tick(now);
+    enforce_caller_limits(now);
     if (report_pending_ && now - reported_at_ > report_timeout) {
         on_report_answer(report_number_, reported_at_, std::nullopt);
     }
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -8,6 +8,8 @@
 
 #include <random>
 
+#include <sys/socket.h>
+
 namespace citronlug {
 
 namespace {
@@ -29,11 +31,42 @@
 constexpr auto drain_notice_time = duration{2500ms};
 
 constexpr auto listen_backlog = 512;
+/// Connections that are accepted before others are served. Without this limit, a burst of connections whose
+/// first messages have arrived, but are not read yet, would be closed as unfinished ones.
+constexpr auto accepted_at_once = 64;
 
 auto random_secret() -> std::string {
     return fmt::format("{:016x}{:016x}", random_number(), random_number());
 }
 
+/// A message before the session is accepted has a database name and a key.
+constexpr auto max_start_bytes = std::size_t{4096};
+
+/// A statement is held once by itself and once in the buffer of the connection to the server.
+constexpr auto copies_of_statement = std::size_t{2};
+
+/// Kernel's buffers of a caller's connection; accepted sockets inherit them. Without a limit, the kernel
+/// holds up to 32 MiB of received data for each connection.
+constexpr auto receive_buffer_bytes = 16 * 1024;
+constexpr auto send_buffer_bytes = 64 * 1024;
+
+auto limit_kernel_buffers(int listener) -> void {
+    setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
+    setsockopt(listener, SOL_SOCKET, SO_SNDBUF, &send_buffer_bytes, sizeof send_buffer_bytes);
+}
+
+/// What counts as one address: for IPv6 the network of 64 bits, of which one machine may use all addresses.
+auto address_of(const QTcpSocket& socket) -> std::string {
+    const auto address = socket.peerAddress();
+    auto is_v4 = false;
+    address.toIPv4Address(&is_v4);
+    if (is_v4 || address.protocol() != QAbstractSocket::IPv6Protocol) {
+        return address.toString().toStdString();
+    }
+    const auto bytes = address.toIPv6Address();
+    return std::string{reinterpret_cast<const char*>(&bytes), 8};
+}
+
 } // namespace
 
 auto random_number() -> std::uint64_t {
@@ -80,6 +113,8 @@
                       lease_read_due_ = lease.holder == settings_.instance;
                   }
               }}}
+    , caller_admission_{make_caller_limits(settings_)}
+    , caller_memory_{make_caller_limits(settings_).memory}
     , rules_{record_kind::rules, store_mirror{rules_watch_fallback}}
     , servers_{record_kind::servers, store_mirror{servers_watch}}
     , primaries_{record_kind::primaries, store_mirror{primaries_watch_fallback}} {
@@ -89,14 +124,17 @@
 session_daemon::~session_daemon() = default;
 
 auto session_daemon::start() -> std::optional<std::string> {
-    QObject::connect(&callers_, &QTcpServer::newConnection, this, [this] { on_new_connection(); });
+    // Queued, so that between groups of new connections the first messages of earlier ones are read.
+    QObject::connect(
+        &callers_, &QTcpServer::newConnection, this, [this] { on_new_connection(); }, Qt::QueuedConnection);
     callers_.setListenBacklogSize(listen_backlog);
-    callers_.setMaxPendingConnections(listen_backlog);
+    callers_.setMaxPendingConnections(accepted_at_once);
     const auto callers = parse_network_address(settings_.caller_address).value_or(network_address{});
     if (!callers_.listen(QHostAddress{QString::fromStdString(callers.host)}, callers.port)) {
         return fmt::format("cannot listen on {}: {}", settings_.caller_address,
                            callers_.errorString().toStdString());
     }
+    limit_kernel_buffers(static_cast<int>(callers_.socketDescriptor()));
     if (!start_http_endpoints()) {
         return fmt::format("cannot listen on {} for readiness checks and {} for metrics",
                            settings_.ready_address, settings_.metrics_address);
@@ -128,6 +166,11 @@
         page.bind(&on);
         return true;
     };
+    for (auto* it : {&ready_listener_, &metrics_listener_}) {
+        it->set_refusal_handler([this](const char* why) {
+            metrics_.count("citronlug_page_connections_closed_total", {{"why", why}});
+        });
+    }
     return listen(ready_listener_, ready_http_, settings_.ready_address) &&
            listen(metrics_listener_, metrics_http_, settings_.metrics_address);
 }
@@ -153,14 +196,20 @@
 // Callers.
 
 auto session_daemon::on_new_connection() -> void {
+    const auto now = clock_now();
     while (auto* socket = callers_.nextPendingConnection()) {
-        if (caller_sockets_.size() >= static_cast<std::size_t>(settings_.max_callers)) {
-            metrics_.count("citronlug_callers_refused_total");
+        const auto id = next_caller_++;
+        const auto decision = caller_admission_.on_connected(now, id, address_of(*socket),
+                                                             static_cast<std::size_t>(closing_sockets_));
+        if (decision.close) {
+            drop_caller(now, *decision.close, caller_refusal::unfinished, {});
+        }
+        if (decision.refused) {
+            note_refusal(now, *decision.refused);
             socket->abort();
             socket->deleteLater();
             continue;
         }
-        const auto id = next_caller_++;
         auto on = line_socket::handlers{};
         on.line = [this, id](std::string_view line) {
             on_caller_line(id, line);
@@ -168,15 +217,87 @@
         on.closed = [this, id](bool /*refused*/) {
             const auto it = caller_sockets_.find(id);
             it->second.socket->deleteLater();
-            caller_sockets_.erase(it);
+            forget_caller(id);
             proxy_.on_caller_closed(clock_now(), id);
         };
-        caller_sockets_[id].socket =
-            new line_socket{socket, platform_.wire.max_line_bytes(), std::move(on), this};
+        on.reserve = [this, id](std::size_t more) {
+            return caller_memory_.request(clock_now(), id, more);
+        };
+        on.buffers_changed = [this, id] {
+            measure_buffers(id);
+        };
+        on.line_too_long = [this] {
+            note_refusal(clock_now(), caller_refusal::length);
+        };
+        caller_sockets_[id].socket = new line_socket{socket, max_start_bytes, std::move(on), this};
         caller_sockets_[id].socket->resume();
     }
 }
 
+auto session_daemon::note_refusal(time_point now, caller_refusal why) -> void {
+    const auto name = std::string{name_of(why)};
+    metrics_.count("citronlug_callers_refused_total", {{"why", name}});
+    if (caller_admission_.may_log(now, why)) {
+        log(log_level::warning, log_event::caller_refused,
+            {{"why", name},
+             {"connections", std::to_string(caller_sockets_.size())},
+             {"bytes", std::to_string(caller_memory_.shared())}});
+    }
+}
+
+auto session_daemon::drop_caller(time_point now, caller_id id, caller_refusal why, const std::string& text)
+    -> void {
+    const auto it = caller_sockets_.find(id);
+    if (it == caller_sockets_.end()) {
+        return;
+    }
+    note_refusal(now, why);
+    auto* socket = it->second.socket;
+    if (!text.empty() && socket->unsent_bytes() == 0) {
+        reject_caller(id, {session_error::busy, text});
+        return;
+    }
+    socket->abort();
+    forget_caller(id);
+    // Deferred because the proxy may be calling.
+    QTimer::singleShot(0, this, [this, id] { proxy_.on_caller_closed(clock_now(), id); });
+}
+
+auto session_daemon::forget_caller(caller_id id) -> void {
+    caller_sockets_.erase(id);
+    caller_admission_.on_closed(id);
+    caller_memory_.remove(id);
+}
+
+auto session_daemon::measure_buffers(caller_id id) -> void {
+    const auto it = caller_sockets_.find(id);
+    if (it != caller_sockets_.end()) {
+        const auto now = clock_now();
+        caller_memory_.set(now, id, memory_use::input, it->second.socket->input_bytes());
+        caller_memory_.set(now, id, memory_use::answers, it->second.socket->unsent_bytes());
+    }
+}
+
+auto session_daemon::enforce_caller_limits(time_point now) -> void {
+    for (const auto id : caller_admission_.expired(now)) {
+        drop_caller(now, id, caller_refusal::no_start, {});
+    }
+    if (const auto id = caller_memory_.next_to_close(now)) {
+        drop_caller(now, *id, caller_refusal::memory, "no memory for the message; send it again later");
+    }
+    for (const auto id : caller_memory_.resumable()) {
+        const auto it = caller_sockets_.find(id);
+        if (it != caller_sockets_.end()) {
+            it->second.socket->resume();
+        }
+    }
+    for (const auto use :
+         {memory_use::input, memory_use::statements, memory_use::session, memory_use::answers}) {
+        metrics_.set("citronlug_caller_bytes", {{"use", std::string{name_of(use)}}},
+                     static_cast<double>(caller_memory_.held(use)));
+    }
+}
+
 auto session_daemon::on_caller_line(caller_id id, std::string_view line) -> void {
     auto& it = caller_sockets_.at(id);
     auto message = platform_.wire.decode_caller(line);
@@ -192,7 +313,20 @@
         proxy_.on_start(now, id, start->database, start->key);
     } else if (auto* statement = std::get_if<session_statement>(&message);
                statement != nullptr && it.started) {
+        const auto bytes = statement->id.size() + statement->text.size() + statement->body.size();
+        const auto is_kept = statement->verb == session_verb::set_value ||
+                             statement->verb == session_verb::prepare_read ||
+                             statement->verb == session_verb::prepare_write;
+        if (is_kept && !caller_memory_.request(now, id, statement->name.size() + statement->body.size())) {
+            drop_caller(now, id, caller_refusal::memory,
+                        "no memory for session values and prepared statements");
+            return;
+        }
+        caller_memory_.set(now, id, memory_use::statements, copies_of_statement * bytes);
         proxy_.on_statement(now, id, std::move(*statement));
+        if (is_kept && caller_sockets_.contains(id)) {
+            caller_memory_.set(now, id, memory_use::session, proxy_.session_bytes(id));
+        }
     } else {
         reject_caller(id, {session_error::malformed, "a session must start with exactly one start message"});
     }
@@ -200,6 +334,8 @@
 
 auto session_daemon::accept_caller(caller_id caller) -> void {
     auto& it = caller_sockets_.at(caller);
+    caller_admission_.on_started(caller);
+    it.socket->set_max_line_bytes(platform_.wire.max_line_bytes());
     it.socket->send(platform_.wire.encode_accept());
     it.socket->resume();
 }
@@ -212,8 +348,14 @@
 auto session_daemon::answer_caller(caller_id caller, const session_answer& answer) -> void {
     const auto it = caller_sockets_.find(caller);
     if (it != caller_sockets_.end()) {
+        const auto now = clock_now();
         it->second.socket->send(platform_.wire.encode_answer(answer));
         it->second.socket->resume();
+        caller_memory_.set(now, caller, memory_use::statements, 0);
+        measure_buffers(caller);
+        while (const auto id = caller_memory_.over_budget(now)) {
+            drop_caller(now, *id, caller_refusal::memory, {});
+        }
     }
 }
 
@@ -225,7 +367,7 @@
     ++closing_sockets_;
     QObject::connect(it->second.socket, &QObject::destroyed, this, [this] { --closing_sockets_; });
     it->second.socket->finish();
-    caller_sockets_.erase(it);
+    forget_caller(caller);
     // Deferred because the function that closes the session may still use it.
     QTimer::singleShot(0, this, [this, caller] { proxy_.on_caller_closed(clock_now(), caller); });
 }
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -3,9 +3,11 @@
 #include "fleet_link.h"
 #include "line_socket.h"
 #include "log_writer.h"
+#include "page_listener.h"
 #include "platform.h"
 #include "server_links.h"
 
+#include <citronlug/caller_resources.h>
 #include <citronlug/primary_coordinator.h>
 #include <citronlug/report_exchange.h>
 #include <citronlug/session_proxy.h>
@@ -66,6 +68,15 @@
     auto log(log_level level, log_event event, const std::vector<log_field>& fields) -> void override;
 
     auto on_new_connection() -> void;
+    /// Counts and logs a refusal.
+    auto note_refusal(time_point now, caller_refusal why) -> void;
+    /// Resets the connection of a caller, after a last message if it can be sent.
+    auto drop_caller(time_point now, caller_id id, caller_refusal why, const std::string& text) -> void;
+    auto forget_caller(caller_id id) -> void;
+    /// Records the sizes of the buffers of a caller's connection.
+    auto measure_buffers(caller_id id) -> void;
+    /// Closes connections that exceed limits, and resumes those for which memory has become free.
+    auto enforce_caller_limits(time_point now) -> void;
     auto on_caller_line(caller_id caller, std::string_view line) -> void;
     auto start_http_endpoints() -> bool;
     auto is_ready() const -> bool;
@@ -134,8 +145,8 @@
     QTcpServer callers_;
     QHttpServer ready_http_;
     QHttpServer metrics_http_;
-    QTcpServer ready_listener_;
-    QTcpServer metrics_listener_;
+    page_listener ready_listener_;
+    page_listener metrics_listener_;
     QTimer timer_;
 
     struct caller {
@@ -143,6 +154,8 @@
         bool started = false;
     };
     std::map<caller_id, caller> caller_sockets_;
+    caller_admission caller_admission_;
+    memory_budget caller_memory_;
     caller_id next_caller_ = 1;
     int closing_sockets_ = 0; ///< sockets of closed sessions that are still sending the last answer
 
