--- a/src/include/citronlug/caller_resources.h
+++ b/src/include/citronlug/caller_resources.h
@@ -21,11 +21,13 @@
 inline constexpr auto reserved_link_descriptors = 256;
 /// Budget for callers if the memory of the machine is not known.
 inline constexpr auto default_caller_memory = std::uint64_t{64} * 1024 * 1024;
-/// Part of the machine's memory for callers. The rest covers the program, answers that are being received and the allocator.
+/// Part of the machine's memory for callers. The rest covers the program, answers that are being received and
+/// the allocator.
 inline constexpr auto caller_memory_divisor = std::uint64_t{4};
 /// What each connection may hold without taking from the shared memory.
 inline constexpr auto free_bytes_per_caller = std::size_t{4096};
-/// A connection from one address may not be refused for its address below this number, for small values of `callers`.
+/// A connection from one address may not be refused for its address below this number, for small values of
+/// `callers`.
 inline constexpr auto min_callers_per_address = 64;
 /// A connection without an accepted session is closed after this time.
 inline constexpr auto start_timeout = duration{5s};
@@ -57,7 +59,8 @@
                                                            "no-start",    "memory",  "length"};
 };
 
-/// Decides which connections of callers are accepted, and which are closed because they did not start a session.
+/// Decides which connections of callers are accepted, and which are closed because they did not start a
+/// session.
 class caller_admission {
 public:
     explicit caller_admission(caller_resource_limits limits);
@@ -67,8 +70,8 @@
         std::optional<caller_id> close; ///< an unfinished connection that makes room for the new one
     };
     /// `closing`: connections that are no longer known here but are still open.
-    [[nodiscard]] auto on_connected(time_point now, caller_id id, const std::string& address, std::size_t closing)
-        -> decision;
+    [[nodiscard]] auto on_connected(time_point now, caller_id id, const std::string& address,
+                                    std::size_t closing) -> decision;
     auto on_started(caller_id id) -> void;
     auto on_closed(caller_id id) -> void;
     /// Connections without a session that have reached the time limit.
@@ -97,9 +100,10 @@
     static constexpr std::array<std::string_view, 4> names{"input", "statements", "session", "answers"};
 };
 
-/// Divides a budget of memory among connections. Each may hold `free_bytes_per_caller`; more is taken from the shared part.
-/// A connection may hold as much of the shared part as is free (a dynamic threshold), so that the largest connections stop
-/// first, some memory always remains for smaller ones, and a single one may use half of it.
+/// Divides a budget of memory among connections. Each may hold `free_bytes_per_caller`; more is taken from
+/// the shared part. A connection may hold as much of the shared part as is free (a dynamic threshold), so
+/// that the largest connections stop first, some memory always remains for smaller ones, and a single one may
+/// use half of it.
 class memory_budget {
 public:
     explicit memory_budget(std::uint64_t total);
@@ -109,13 +113,15 @@
     /// True if the connection may hold `more` bytes. Otherwise it waits until `resumable` returns it.
     [[nodiscard]] auto request(time_point now, caller_id id, std::size_t more) -> bool;
     auto remove(caller_id id) -> void;
-    /// Connections whose last request can be repeated, smallest demand first. They no longer count as waiting.
+    /// Connections whose last request can be repeated, smallest demand first. They no longer count as
+    /// waiting.
     [[nodiscard]] auto resumable() -> std::vector<caller_id>;
-    /// The connection to be closed next because others wait for memory: one without progress for `memory_stall_timeout`, the
-    /// largest demand first, among equals the newest.
+    /// The connection to be closed next because others wait for memory: one without progress for
+    /// `memory_stall_timeout`, the largest demand first, among equals the newest.
     [[nodiscard]] auto next_to_close(time_point now) const -> std::optional<caller_id>;
-    /// The connection to be closed next because more than the budget is held: an answer has to be taken from its server. It is
-    /// the one that has sent nothing for longest; among those of the same second the one with the largest unsent answer.
+    /// The connection to be closed next because more than the budget is held: an answer has to be taken from
+    /// its server. It is the one that has sent nothing for longest; among those of the same second the one
+    /// with the largest unsent answer.
     [[nodiscard]] auto over_budget(time_point now) const -> std::optional<caller_id>;
 
     [[nodiscard]] auto held(memory_use use) const -> std::uint64_t;
--- a/src/include/citronlug/message_frames.h
+++ b/src/include/citronlug/message_frames.h
@@ -6,8 +6,9 @@
 
 namespace citronlug {
 
-/// Follows the framing of Cap'n Proto messages in a stream (a table with the number and the sizes of segments, then the
-/// segments), and detects a message that is larger than a limit before its content has been received.
+/// Follows the framing of Cap'n Proto messages in a stream (a table with the number and the sizes of
+/// segments, then the segments), and detects a message that is larger than a limit before its content has
+/// been received.
 class message_frames {
 public:
     explicit message_frames(std::uint64_t max_message_bytes)
@@ -19,8 +20,8 @@
     [[nodiscard]] auto feed(std::span<const std::byte> data) -> bool;
 
 private:
-    /// The first number of the table is the number of segments minus one; then come their sizes in words of 8 bytes, and
-    /// padding to a whole word.
+    /// The first number of the table is the number of segments minus one; then come their sizes in words of 8
+    /// bytes, and padding to a whole word.
     auto on_number(std::uint32_t number) -> bool;
 
     std::uint64_t max_message_bytes_;
--- a/src/libcitronlug/resources/caller_resources.cpp
+++ b/src/libcitronlug/resources/caller_resources.cpp
@@ -25,15 +25,16 @@
     it.connections = static_cast<std::size_t>(connections);
     it.per_address = static_cast<std::size_t>(std::max(settings.max_callers / 4, min_callers_per_address));
     it.unfinished = std::max<std::size_t>(it.connections / 2, 1);
-    it.memory = settings.memory_mb ? *settings.memory_mb * 1024 * 1024 / caller_memory_divisor : default_caller_memory;
+    it.memory = settings.memory_mb ? *settings.memory_mb * 1024 * 1024 / caller_memory_divisor
+                                   : default_caller_memory;
     return it;
 }
 
 caller_admission::caller_admission(caller_resource_limits limits)
     : limits_{limits} {}
 
-auto caller_admission::on_connected(time_point now, caller_id id, const std::string& address, std::size_t closing)
-    -> decision {
+auto caller_admission::on_connected(time_point now, caller_id id, const std::string& address,
+                                    std::size_t closing) -> decision {
     const auto same = per_address_.find(address);
     if (same != per_address_.end() && same->second >= limits_.per_address) {
         return {caller_refusal::address, {}};
--- a/src/libcitronlug/resources/caller_resources_test.cpp
+++ b/src/libcitronlug/resources/caller_resources_test.cpp
@@ -11,15 +11,16 @@
 constexpr auto mebibyte = std::size_t{1} << 20U;
 const auto start = time_point{100s};
 
-auto limits(std::size_t connections, std::size_t per_address, std::size_t unfinished) -> caller_resource_limits {
+auto limits(std::size_t connections, std::size_t per_address, std::size_t unfinished)
+    -> caller_resource_limits {
     return {connections, per_address, unfinished, 0};
 }
 
 } // namespace
 
-TEST_GROUP (caller_resources) {};
+TEST_GROUP(caller_resources){};
 
-TEST (caller_resources, leave_descriptors_for_servers_and_store) {
+TEST(caller_resources, leave_descriptors_for_servers_and_store) {
     auto settings = session_settings{};
     CHECK_EQUAL(3000, make_caller_limits(settings).connections);
     CHECK_EQUAL(750, make_caller_limits(settings).per_address);
@@ -35,7 +36,7 @@
     CHECK_EQUAL(1, make_caller_limits(settings).unfinished);
 }
 
-TEST (caller_resources, close_the_oldest_connection_without_a_session) {
+TEST(caller_resources, close_the_oldest_connection_without_a_session) {
     auto it = caller_admission{limits(8, 100, 2)};
     CHECK_FALSE(it.on_connected(start, 1, "a", 0).close);
     CHECK_FALSE(it.on_connected(start, 2, "a", 0).close);
@@ -50,7 +51,7 @@
     CHECK(it.expired(start + 7s) == (std::vector<caller_id>{3, 4}));
 }
 
-TEST (caller_resources, refuse_when_all_connections_are_in_use) {
+TEST(caller_resources, refuse_when_all_connections_are_in_use) {
     auto it = caller_admission{limits(2, 100, 2)};
     static_cast<void>(it.on_connected(start, 1, "a", 0));
     static_cast<void>(it.on_connected(start, 2, "b", 0));
@@ -63,7 +64,7 @@
     CHECK_FALSE(it.on_connected(start, 5, "c", 0).refused);
 }
 
-TEST (caller_resources, refuse_too_many_connections_from_one_address) {
+TEST(caller_resources, refuse_too_many_connections_from_one_address) {
     auto it = caller_admission{limits(100, 2, 50)};
     static_cast<void>(it.on_connected(start, 1, "a", 0));
     static_cast<void>(it.on_connected(start, 2, "a", 0));
@@ -78,10 +79,10 @@
     CHECK(it.may_log(start + 1s, caller_refusal::address));
 }
 
-TEST_GROUP (memory_of_callers) {
+TEST_GROUP(memory_of_callers) {
     memory_budget it{4 * mebibyte};
 
-    auto receive(time_point now, caller_id id, std::size_t bytes) -> bool {
+    auto receive(time_point now, caller_id id, std::size_t bytes)->bool {
         const auto granted = it.request(now, id, bytes);
         if (granted) {
             it.set(now, id, memory_use::input, bytes);
@@ -90,13 +91,13 @@
     }
 };
 
-TEST (memory_of_callers, serves_one_message_of_the_largest_size) {
+TEST(memory_of_callers, serves_one_message_of_the_largest_size) {
     CHECK(receive(start, 1, mebibyte + 65536));
     CHECK_FALSE(it.next_to_close(start + 1h));
     CHECK_FALSE(it.over_budget(start + 1h));
 }
 
-TEST (memory_of_callers, never_stops_a_small_message) {
+TEST(memory_of_callers, never_stops_a_small_message) {
     auto id = caller_id{1};
     while (receive(start, id, mebibyte / 4)) {
         ++id;
@@ -106,7 +107,7 @@
     CHECK_FALSE(it.request(start, 1000, free_bytes_per_caller + 1));
 }
 
-TEST (memory_of_callers, stops_the_largest_first_and_resumes_the_smallest_first) {
+TEST(memory_of_callers, stops_the_largest_first_and_resumes_the_smallest_first) {
     CHECK(receive(start, 1, mebibyte));
     CHECK(receive(start, 2, mebibyte));
     // Half of the shared part is free. A connection may not hold more than is free afterwards.
@@ -122,7 +123,7 @@
     CHECK_EQUAL(0, it.held(memory_use::input));
 }
 
-TEST (memory_of_callers, closes_what_makes_no_progress_while_others_wait) {
+TEST(memory_of_callers, closes_what_makes_no_progress_while_others_wait) {
     CHECK(receive(start, 1, mebibyte));
     CHECK(receive(start, 2, mebibyte));
     it.set(start, 2, memory_use::statements, 1);
@@ -140,7 +141,7 @@
     CHECK_FALSE(it.next_to_close(start + 1h));
 }
 
-TEST (memory_of_callers, closes_the_one_that_reads_nothing_when_answers_exceed_the_budget) {
+TEST(memory_of_callers, closes_the_one_that_reads_nothing_when_answers_exceed_the_budget) {
     it.set(start, 1, memory_use::answers, 2 * mebibyte);
     CHECK_FALSE(it.over_budget(start));
     it.set(start + 3s, 2, memory_use::answers, 3 * mebibyte);
--- a/src/libcitronlug/resources/message_frames_test.cpp
+++ b/src/libcitronlug/resources/message_frames_test.cpp
@@ -34,10 +34,10 @@
 
 } // namespace
 
-TEST_GROUP (message_frames) {};
+TEST_GROUP(message_frames){};
 
 // A message whose announced size is not seen in time makes the process allocate it.
-TEST (message_frames, are_refused_at_the_table_that_announces_too_much) {
+TEST(message_frames, are_refused_at_the_table_that_announces_too_much) {
     auto it = message_frames{4096};
     CHECK(feed(it, message({512})));
     CHECK_FALSE(feed(it, message({513}).substr(0, 8)));
@@ -49,7 +49,7 @@
     CHECK_FALSE(feed(segments, std::string("\xff\xff\xff\xff", 4)));
 }
 
-TEST (message_frames, are_followed_byte_by_byte_and_in_one_piece) {
+TEST(message_frames, are_followed_byte_by_byte_and_in_one_piece) {
     const auto all = message({3}) + message({1, 0, 2}) + message({0}) + message({1, 511}) + message({2});
     auto whole = message_frames{4096};
     CHECK(feed(whole, all));
@@ -61,7 +61,7 @@
     CHECK_FALSE(feed(pieces, message({513})));
 }
 
-TEST (message_frames, may_be_larger_after_the_limit_was_raised) {
+TEST(message_frames, may_be_larger_after_the_limit_was_raised) {
     auto it = message_frames{4096};
     it.set_limit(16'000'000);
     CHECK(feed(it, message({100'000})));
--- a/src/peer/limited_stream.h
+++ b/src/peer/limited_stream.h
@@ -15,8 +15,8 @@
     std::uint64_t total_left; ///< bytes
 };
 
-/// Stream that fails reads once the peer exceeds a limit, before the RPC library allocates the announced message. Both
-/// references must outlive it.
+/// Stream that fails reads once the peer exceeds a limit, before the RPC library allocates the announced
+/// message. Both references must outlive it.
 class limited_stream final : public kj::AsyncIoStream {
 public:
     limited_stream(kj::AsyncIoStream& inner, receive_limits& limits)
@@ -25,7 +25,8 @@
     virtual ~limited_stream() = default;
     KJ_DISALLOW_COPY(limited_stream);
 
-    auto tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes) -> kj::Promise<std::size_t> override {
+    auto tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes)
+        -> kj::Promise<std::size_t> override {
         return inner_.tryRead(buffer, min_bytes, max_bytes).then([this, buffer](std::size_t n) {
             KJ_REQUIRE(n <= limits_.total_left &&
                            limits_.frames.feed({static_cast<const std::byte*>(buffer), n}),
