Count and log refused peers

Connections that the RPC port closes for its limits left no trace. They are counted in citronlug_callers_refused_total{why="peer"} and logged at most once a second.

--- a/src/include/citronlug/caller_resources.h
+++ b/src/include/citronlug/caller_resources.h
@@ -51,12 +51,13 @@
     no_start,    ///< no session within the time for it
     memory,      ///< no memory is left, or no progress while others wait for memory
     length,      ///< a message is longer than the protocol permits
+    peer,        ///< on the RPC port: not authenticated, or a message that is too large
 };
 
 template <>
 struct name_table<caller_refusal> {
-    static constexpr std::array<std::string_view, 6> names{"connections", "address", "unfinished",
-                                                           "no-start",    "memory",  "length"};
+    static constexpr std::array<std::string_view, 7> names{"connections", "address", "unfinished", "no-start",
+                                                           "memory",      "length",  "peer"};
 };
 
 /// Decides which connections of callers are accepted, and which are closed because they did not start a
--- a/src/peer/limited_stream.h
+++ b/src/peer/limited_stream.h
@@ -6,6 +6,7 @@
 #include <kj/debug.h>
 
 #include <cstdint>
+#include <functional>
 
 namespace citronlug {
 
@@ -19,18 +20,21 @@
 /// message. Both references must outlive it.
 class limited_stream final : public kj::AsyncIoStream {
 public:
-    limited_stream(kj::AsyncIoStream& inner, receive_limits& limits)
+    limited_stream(kj::AsyncIoStream& inner, receive_limits& limits, std::function<void()> on_refused)
         : inner_{inner}
-        , limits_{limits} {}
+        , limits_{limits}
+        , on_refused_{std::move(on_refused)} {}
     virtual ~limited_stream() = default;
     KJ_DISALLOW_COPY(limited_stream);
 
     auto tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes)
         -> kj::Promise<std::size_t> override {
         return inner_.tryRead(buffer, min_bytes, max_bytes).then([this, buffer](std::size_t n) {
-            KJ_REQUIRE(n <= limits_.total_left &&
-                           limits_.frames.feed({static_cast<const std::byte*>(buffer), n}),
-                       "the peer sent more than it may");
+            const auto data = std::span{static_cast<const std::byte*>(buffer), n};
+            if (n > limits_.total_left || !limits_.frames.feed(data)) {
+                on_refused_();
+                KJ_FAIL_REQUIRE("the peer sent more than it may");
+            }
             limits_.total_left -= n;
             return n;
         });
@@ -48,6 +52,7 @@
 private:
     kj::AsyncIoStream& inner_;
     receive_limits& limits_;
+    std::function<void()> on_refused_;
 };
 
 } // namespace citronlug
--- a/src/peer/peer_rpc.cpp
+++ b/src/peer/peer_rpc.cpp
@@ -210,8 +210,12 @@
     auto services() -> const peer_services& { return inbound_->services; }
 
     auto counters() -> peer_counters {
-        return {0, calls_.load(), failed_calls_.load(), connection_attempts_.load(),
-                inbound_->refused_proofs};
+        return {0,
+                calls_.load(),
+                failed_calls_.load(),
+                connection_attempts_.load(),
+                inbound_->refused_proofs,
+                inbound_->refused_connections.load()};
     }
 
 private:
--- a/src/peer/peer_rpc.h
+++ b/src/peer/peer_rpc.h
@@ -59,6 +59,7 @@
     std::uint64_t failed_calls = 0;
     std::uint64_t connection_attempts = 0;
     std::uint64_t refused_proofs = 0;
+    std::uint64_t refused_connections = 0; ///< without authentication or with too large messages
 };
 
 /// Cap'n Proto RPC with the other instances, on a thread with its own kj event loop. One connection per peer
--- a/src/peer/peer_rpc_test.cpp
+++ b/src/peer/peer_rpc_test.cpp
@@ -5,8 +5,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <future>
+#include <thread>
+#include <vector>
 
 #include <citronlug/testing.h> // its macros for operator new must follow the other headers
 
@@ -116,3 +119,48 @@
     CHECK(result.wait_for(2s) == std::future_status::ready);
     CHECK(std::get<call_failure>(result.get()) == call_failure::lost);
 }
+
+namespace {
+
+auto connect_to_port(const std::string& address) -> int {
+    const auto fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    auto name = sockaddr_in{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    name.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+    LONGS_EQUAL(0, ::connect(fd, reinterpret_cast<sockaddr*>(&name), sizeof name));
+    return fd;
+}
+
+} // namespace
+
+// Guards against memory taken by a peer that has proved nothing: a message of one segment of 8 MiB is
+// announced.
+TEST(peers, close_a_connection_that_announces_a_large_message_without_a_proof) {
+    start("secret");
+    const auto fd = connect_to_port(address);
+    const auto header = std::string{"\0\0\0\0\0\0\x10\0", 8};
+    LONGS_EQUAL(8, ::send(fd, header.data(), header.size(), MSG_NOSIGNAL));
+    while (server->counters().refused_connections == 0) {
+        std::this_thread::sleep_for(10ms); // the test program has a time limit
+    }
+    auto buffer = std::array<char, 4096>{};
+    while (::recv(fd, buffer.data(), buffer.size(), 0) > 0) {
+    }
+    ::close(fd);
+    CHECK((std::holds_alternative<std::pair<answer, epoch_number>>(execute(address, 2s))));
+}
+
+// Guards against peers kept out by connections that send nothing: only 64 may be unauthenticated.
+TEST(peers, are_served_beside_many_connections_that_send_nothing) {
+    start("secret");
+    auto silent = std::vector<int>{};
+    for (auto n = 0; n < 80; ++n) {
+        silent.push_back(connect_to_port(address));
+    }
+    CHECK((std::holds_alternative<std::pair<answer, epoch_number>>(execute(address, 2s))));
+    CHECK(server->counters().refused_connections >= 16);
+    for (const auto fd : silent) {
+        ::close(fd);
+    }
+}
--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -234,7 +234,10 @@
         : state{std::move(shared)}
         , connection{std::make_shared<connection_state>()}
         , stream{kj::mv(accepted)}
-        , limited{*stream, connection->limits}
+        , limited{*stream, connection->limits,
+                  [this] {
+                      ++state->refused_connections;
+                  }}
         , network{limited, capnp::rpc::twoparty::Side::SERVER,
                   capnp::ReaderOptions{.traversalLimitInWords = traversal_words, .nestingLimit = 16}}
         , system{capnp::makeRpcServer(network, kj::heap<gate_impl>(state, connection))} {
@@ -287,7 +290,7 @@
         const auto oldest = state->unauthenticated.begin();
         auto close = kj::mv(oldest->second);
         state->unauthenticated.erase(oldest);
-        ++state->evicted;
+        ++state->refused_connections;
         close->fulfill();
     }
     auto served = kj::heap<inbound_connection>(state, kj::mv(stream));
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -5,6 +5,7 @@
 
 #include <kj/async-io.h>
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -29,7 +30,8 @@
     /// Connections that have not authenticated yet, oldest first, each with what closes it.
     std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<void>>> unauthenticated;
     std::uint64_t last_connection = 0;
-    std::uint64_t evicted = 0; ///< unauthenticated connections that were closed for newer ones
+    /// Connections closed for newer ones before they authenticated, or for too large messages.
+    std::atomic<std::uint64_t> refused_connections = 0;
     unsigned connections = 0;
     std::uint64_t refused_proofs = 0;
 };
--- a/src/sessiond/fleet_link.h
+++ b/src/sessiond/fleet_link.h
@@ -38,6 +38,10 @@
     auto start(const std::string& secret) -> void;
     auto report(const std::string& address, const instance_report& report, answer_handler done) -> void;
     auto announce(const std::string& address, const coordinator_lease& lease) -> void;
+    /// Connections of peers that were refused so far.
+    [[nodiscard]] auto refused_connections() const -> std::uint64_t {
+        return rpc_ ? rpc_->counters().refused_connections : 0;
+    }
     /// Rules and servers that other instances can fetch from this one.
     auto set_rules(record_text rules) -> void;
     auto set_servers(record_text servers) -> void;
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -234,9 +234,9 @@
     }
 }
 
-auto session_daemon::note_refusal(time_point now, caller_refusal why) -> void {
+auto session_daemon::note_refusal(time_point now, caller_refusal why, std::uint64_t n) -> void {
     const auto name = std::string{name_of(why)};
-    metrics_.count("citronlug_callers_refused_total", {{"why", name}});
+    metrics_.count("citronlug_callers_refused_total", {{"why", name}}, n);
     if (caller_admission_.may_log(now, why)) {
         log(log_level::warning, log_event::caller_refused,
             {{"why", name},
@@ -291,6 +291,11 @@
             it->second.socket->resume();
         }
     }
+    const auto refused_peers = fleet_.refused_connections();
+    if (refused_peers > refused_peers_) {
+        note_refusal(now, caller_refusal::peer, refused_peers - refused_peers_);
+        refused_peers_ = refused_peers;
+    }
     for (const auto use :
          {memory_use::input, memory_use::statements, memory_use::session, memory_use::answers}) {
         metrics_.set("citronlug_caller_bytes", {{"use", std::string{name_of(use)}}},
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -69,7 +69,7 @@
 
     auto on_new_connection() -> void;
     /// Counts and logs a refusal.
-    auto note_refusal(time_point now, caller_refusal why) -> void;
+    auto note_refusal(time_point now, caller_refusal why, std::uint64_t n = 1) -> void;
     /// Resets the connection of a caller, after a last message if it can be sent.
     auto drop_caller(time_point now, caller_id id, caller_refusal why, const std::string& text) -> void;
     auto forget_caller(caller_id id) -> void;
@@ -156,6 +156,7 @@
     std::map<caller_id, caller> caller_sockets_;
     caller_admission caller_admission_;
     memory_budget caller_memory_;
+    std::uint64_t refused_peers_ = 0;
     caller_id next_caller_ = 1;
     int closing_sockets_ = 0; ///< sockets of closed sessions that are still sending the last answer
 
