--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -5,7 +5,10 @@
 
 #include <kj/async-io.h>
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -24,7 +27,11 @@
     peer_services services;
     std::string key;
     peer_thread_post post;
-    unsigned unauthenticated = 0; ///< connections that have not authenticated yet
+    /// Connections that have not authenticated yet, oldest first, each with what closes it.
+    std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<void>>> unauthenticated;
+    std::uint64_t last_connection = 0;
+    /// Connections closed for newer ones before they authenticated, or for too large messages.
+    std::atomic<std::uint64_t> refused_connections = 0;
     unsigned connections = 0;
     std::uint64_t refused_proofs = 0;
 };
