Prefer replicas for reads also without a permit for the primary

Cause: without a permit the recorded primary counted as a replica, so two servers with equal estimates were ordered by their addresses in memory. allows_replica_reads_while_position_is_recent failed whenever the layout of the heap changed. Change: the penalty for reads at the primary applies to the recorded primary, with or without a permit.

--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -255,7 +255,9 @@
             continue;
         }
         if (const auto time = pool_.estimate(*it, work.account, now)) {
-            found.emplace_back(*time + (is_primary ? primary_read_penalty : duration{}), it);
+            // Without a permit too: otherwise equal estimates would be ordered by address in memory.
+            const auto leads = it->id == group.primary.primary;
+            found.emplace_back(*time + (leads ? primary_read_penalty : duration{}), it);
         }
     }
     std::sort(found.begin(), found.end());
