Evacuate failure domains on the operators' word

Cause: operators had no way to keep all instances away from the servers of a failure domain within a known time. Change: with evacuation_limit_ms, the coordinator watches the kind evacuations and passes the list and its age on with its answers; an instance without evidence of the last 3 s reads it itself. Replicas of an evacuated domain get nothing new, primaries are replaced by a planned change that loses no acknowledged write, and after two fifths of the limit nothing is sent to the domain.

--- a/src/include/citronlug/primary_coordinator.h
+++ b/src/include/citronlug/primary_coordinator.h
@@ -2,6 +2,7 @@
 
 #include <citronlug/coordination.h>
 #include <citronlug/desired_state.h>
+#include <citronlug/evacuation.h>
 
 #include <functional>
 
@@ -44,6 +45,8 @@
     [[nodiscard]] auto needs_lease_record() const -> bool;
     auto set_servers(time_point now, const std::vector<backend_server>& servers) -> void;
     auto set_groups(const std::map<group_id, server_group>& groups) -> void;
+    /// To be called whenever the view changes.
+    auto set_evacuations(time_point now, const evacuation_view& view) -> void;
     auto on_instances(time_point now, const std::set<instance_id>& registered) -> void;
     auto on_report(time_point now, const instance_report& report) -> void;
     auto on_probe(time_point now, const server_id& server, time_point asked_at, const probe_result& result)
--- a/src/include/citronlug/session_proxy.h
+++ b/src/include/citronlug/session_proxy.h
@@ -2,6 +2,7 @@
 
 #include <citronlug/account_limiter.h>
 #include <citronlug/desired_state.h>
+#include <citronlug/evacuation.h>
 #include <citronlug/log.h>
 #include <citronlug/log_events.h>
 #include <citronlug/metrics.h>
@@ -72,6 +73,8 @@
     auto set_servers(time_point now, const std::vector<backend_server>& servers) -> void;
     auto set_primary(time_point now, const primary_view& view) -> void;
     auto set_instances(time_point now, std::uint32_t live) -> void;
+    /// To be called whenever the view changes.
+    auto set_evacuations(time_point now, const evacuation_view& view) -> void;
     /// The group has no primary: `at` contains all acknowledged writes until there is a new one.
     auto set_final_position(time_point now, const group_id& group, position at) -> void;
     /// A log position that the group's primary reported after `asked_at` to another instance with a permit.
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -45,6 +45,9 @@
 /// Maximum wait for a replica that keeps up with a draining primary before the change begins. Callers are
 /// served meanwhile.
 constexpr auto keep_up_timeout = duration{2s};
+/// The same for a primary in an evacuated failure domain. A quarter of the usual time until the stop, so that
+/// the change can still ask the old primary for its position.
+constexpr auto evacuation_keep_up_timeout = duration{500ms};
 constexpr auto promotion_retry_interval = duration{200ms};
 /// An order without an answer by then is cancelled.
 constexpr auto promotion_answer_timeout = duration{1s};
@@ -96,6 +99,8 @@
     time_point list_requested_at;
     std::set<server_id> excluded;
     server_id candidate;
+    bool candidate_chosen_here = false; ///< no other coordinator can have ordered it to lead
+    server_id dropped_candidate;        ///< evacuated before it was ordered to lead
     time_point ordered_at;
     bool order_pending = false;
     bool order_accepted = false;
@@ -369,6 +374,19 @@
     std::set<instance_id> registered_;
     time_point lease_confirmed_at_ = time_point{} - 1h; ///< when the record was last read
     time_point primaries_confirmed_at_ = time_point{} - 1h;
+    evacuation_view evacuations_;
+
+    auto set_evacuations(time_point now, const evacuation_view& view) -> void {
+        for (auto& [id, it] : servers_) {
+            if (evacuations_.is_stopped(it.entry) && !view.is_stopped(it.entry)) {
+                // It was not asked meanwhile, so its silence means nothing.
+                it.answered_at = now;
+                it.refusals = 0;
+                it.pending = false;
+            }
+        }
+        evacuations_ = view;
+    }
 
     auto on_registered(const std::set<instance_id>& names) -> void {
         registered_ = names;
@@ -491,7 +509,8 @@
 
     auto probe(time_point now, const server_id& id, duration interval) -> void {
         const auto it = servers_.find(id);
-        if (it != servers_.end() && !it->second.pending && now - it->second.asked_at >= interval) {
+        if (it != servers_.end() && !evacuations_.is_stopped(it->second.entry) && !it->second.pending &&
+            now - it->second.asked_at >= interval) {
             it->second.pending = true;
             it->second.asked_at = now;
             actions_.emplace_back(probe_server{id});
@@ -512,6 +531,16 @@
         return it == servers_.end() ? nullptr : &it->second;
     }
 
+    [[nodiscard]] auto is_evacuated(const server_id& id) const -> bool {
+        const auto* server = find(id);
+        return server != nullptr && evacuations_.is_evacuated(server->entry);
+    }
+
+    [[nodiscard]] auto is_stopped(const server_id& id) const -> bool {
+        const auto* server = find(id);
+        return server != nullptr && evacuations_.is_stopped(server->entry);
+    }
+
     [[nodiscard]] auto is_unresponsive(time_point now, const tracked_server& server) const -> bool {
         if (server.refusals >= refusal_threshold) {
             return true;
@@ -524,8 +553,8 @@
     [[nodiscard]] auto is_eligible_successor(time_point now, const coordinated_group& group,
                                              const tracked_server& server) const -> bool {
         return server.entry.id != group.record.primary && !group.excluded.contains(server.entry.id) &&
-               server.status && now - server.status_asked_at < status_validity &&
-               !is_unresponsive(now, server);
+               !evacuations_.is_evacuated(server.entry) && server.status &&
+               now - server.status_asked_at < status_validity && !is_unresponsive(now, server);
     }
 
     [[nodiscard]] auto has_eligible_successor(time_point now, const group_id& id,
@@ -588,6 +617,9 @@
         if (primary->entry.state == server_state::draining) {
             return "the primary is draining";
         }
+        if (evacuations_.is_evacuated(primary->entry)) {
+            return "the failure domain of the primary is evacuated";
+        }
         if (primary->status && !primary->status->is_primary && primary->status->term > group.record.term &&
             now - primary->status_asked_at < status_validity) {
             return "the primary has become a replica";
@@ -611,7 +643,7 @@
             group.write_pending = false;
             group.phase = change_phase::steady;
         }
-        if (group.write_pending) {
+        if (group.write_pending || !evacuations_.is_known) {
             return;
         }
         if (group.revision == 0) {
@@ -642,13 +674,17 @@
         auto all_known = true;
         auto has_servers = false;
         const tracked_server* leader = nullptr;
+        const tracked_server* evacuated_leader = nullptr; // by its own entry
         for (const auto& [name, it] : servers_) {
             if (it.entry.group != id) {
                 continue;
             }
             has_servers = true;
             probe(now, name, suspect_probe_interval);
-            all_known = all_known && it.status;
+            all_known = all_known && (it.status || evacuations_.is_stopped(it.entry));
+            if (evacuations_.is_evacuated(it.entry) && it.entry.reports_primary) {
+                evacuated_leader = &it;
+            }
             if (it.status && it.status->is_primary &&
                 (leader == nullptr || it.status->term > leader->status->term)) {
                 leader = &it;
@@ -658,9 +694,19 @@
             group.missing_since = now;
             return;
         }
-        if (leader != nullptr && (all_known || now - group.missing_since > status_wait * 2)) {
-            write_group(now, id, group, {leader->entry.id, leader->status->term, 1, false, {}},
-                        change_phase::writing_result);
+        if (!all_known && now - group.missing_since <= status_wait * 2) {
+            return;
+        }
+        group.reason = "the failure domain of the leading server is evacuated";
+        if (leader != nullptr) {
+            const auto evacuated = evacuations_.is_evacuated(leader->entry);
+            write_group(now, id, group, {leader->entry.id, leader->status->term, 1, evacuated, {}},
+                        evacuated ? change_phase::writing_intent : change_phase::writing_result);
+        } else if (evacuated_leader != nullptr) {
+            const auto& status = evacuated_leader->status;
+            write_group(now, id, group,
+                        {evacuated_leader->entry.id, status ? status->term : term_number{}, 1, true, {}},
+                        change_phase::writing_intent);
         }
     }
 
@@ -674,11 +720,11 @@
             return;
         }
         const auto* primary = find(group.record.primary);
-        const auto suspect = primary == nullptr || primary->refusals > 0 ||
-                             primary->failed_since > primary->answered_at ||
-                             primary->entry.state == server_state::draining;
+        const auto suspect =
+            primary == nullptr || primary->refusals > 0 || primary->failed_since > primary->answered_at ||
+            primary->entry.state == server_state::draining || evacuations_.is_evacuated(primary->entry);
         probe(now, group.record.primary, suspect ? suspect_probe_interval : steady_probe_interval);
-        if (group.step_downs_left > 0 && !group.old_primary.empty() &&
+        if (group.step_downs_left > 0 && !group.old_primary.empty() && !is_stopped(group.old_primary) &&
             now - group.phase_since > steady_probe_interval) {
             group.phase_since = now;
             --group.step_downs_left;
@@ -690,14 +736,19 @@
         if (suspect || !reason.empty()) {
             probe_others(now, id, group, suspect_probe_interval);
         }
-        const auto leaving = primary != nullptr && primary->entry.state == server_state::draining;
+        const auto evacuated = is_evacuated(group.record.primary);
+        const auto stopped = is_stopped(group.record.primary);
+        const auto leaving =
+            primary != nullptr && (primary->entry.state == server_state::draining || evacuated);
         if (!leaving) {
             group.draining_since = {};
         } else if (group.draining_since == time_point{}) {
             group.draining_since = now;
         }
-        if (leaving && !is_unresponsive(now, *primary) && !is_followed(now, id, group) &&
-            now - group.draining_since < keep_up_timeout) {
+        const auto patience = evacuated ? evacuation_keep_up_timeout : keep_up_timeout;
+        // After the stop nothing shows that another server catches up but its own position.
+        if (leaving && (stopped || !is_unresponsive(now, *primary)) && !is_followed(now, id, group) &&
+            (stopped || now - group.draining_since < patience)) {
             return;
         }
         if (reason.empty() || (now < group.not_before && !leaving) ||
@@ -723,28 +774,35 @@
         group.list_requested_at = {}; // the next tick requests the list
     }
 
+    [[nodiscard]] auto has_released(const group_id& id, const coordinated_group& group,
+                                    const instance_id& name) const -> bool {
+        const auto it = reports_.find(name);
+        return it != reports_.end() &&
+               std::any_of(it->second.second.groups.begin(), it->second.second.groups.end(),
+                           [&](const auto& group_entry) {
+                               return group_entry.group == id &&
+                                      group_entry.released_generation >= group.record.generation;
+                           });
+    }
+
+    [[nodiscard]] auto have_all_released(const group_id& id, const coordinated_group& group) const -> bool {
+        return group.awaited_instances &&
+               std::all_of(group.awaited_instances->begin(), group.awaited_instances->end(),
+                           [&](const auto& name) { return has_released(id, group, name); });
+    }
+
     auto tick_awaiting_release(time_point now, const group_id& id, coordinated_group& group) -> void {
         if (!group.awaited_instances && now - group.list_requested_at > list_retry_interval) {
             group.list_requested_at = now;
             actions_.emplace_back(list_instances{});
         }
-        const auto has_released = [&](const instance_id& name) {
-            const auto it = reports_.find(name);
-            return it != reports_.end() &&
-                   std::any_of(it->second.second.groups.begin(), it->second.second.groups.end(),
-                               [&](const auto& group_entry) {
-                                   return group_entry.group == id &&
-                                          group_entry.released_generation >= group.record.generation;
-                               });
-        };
-        const auto all = group.awaited_instances && std::all_of(group.awaited_instances->begin(),
-                                                                group.awaited_instances->end(), has_released);
+        const auto all = have_all_released(id, group);
         if (!all && now < group.permissions_end) {
             return;
         }
         auto missing = std::string{group.awaited_instances ? "" : " unknown"};
         for (const auto& name : group.awaited_instances.value_or(std::set<instance_id>{})) {
-            missing += has_released(name) ? "" : " " + name.value;
+            missing += has_released(id, group, name) ? "" : " " + name.value;
         }
         emit(log_event::change_released, id.value,
              fmt::format("generation={} by={} waited_ms={} missing={}", group.record.generation,
@@ -789,7 +847,12 @@
         if (received < group.newest_acknowledged) {
             return false;
         }
-        return group.all_released || std::all_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+        if (group.all_released) {
+            return true;
+        }
+        // An evacuation must not lose a write that only the old primary has.
+        return (is_synchronous(id) || !is_evacuated(group.record.primary)) &&
+               std::all_of(servers_.begin(), servers_.end(), [&](const auto& it) {
                    const auto& other = it.second;
                    return other.entry.group != id || other.entry.id == group.record.primary ||
                           (is_fresh(group, other) && other.status->received <= received);
@@ -823,7 +886,7 @@
             const auto& server = it.second;
             return server.entry.group != id || server.entry.id == group.record.primary ||
                    server.entry.state != server_state::ready || group.excluded.contains(server.entry.id) ||
-                   is_fresh(group, server);
+                   evacuations_.is_evacuated(server.entry) || is_fresh(group, server);
         });
     }
 
@@ -843,6 +906,9 @@
         const auto is_kept_by = [&](const tracked_server* it) {
             return it != nullptr && is_fresh(group, *it) && has_all_writes(id, group, *it);
         };
+        if (is_evacuated(group.record.primary) && !is_synchronous(id)) {
+            return is_kept_by(best) ? best : nullptr;
+        }
         if (is_synchronous(id)) {
             const auto* draining = best_successor(now, id, group, server_state::draining);
             return is_kept_by(best) ? best : is_kept_by(draining) ? draining : nullptr;
@@ -858,7 +924,10 @@
     auto tick_choosing_successor(time_point now, const group_id& id, coordinated_group& group) -> void {
         // The candidate in the record may already have been promoted.
         if (!group.record.candidate.empty() && !group.excluded.contains(group.record.candidate) &&
+            !is_stopped(group.record.candidate) &&
+            !(is_evacuated(group.record.candidate) && group.dropped_candidate == group.record.candidate) &&
             find(group.record.candidate) != nullptr) {
+            group.candidate_chosen_here = false;
             group.candidate = group.record.candidate;
             group.phase = change_phase::promoting;
             group.phase_since = now;
@@ -867,6 +936,8 @@
             group.ordered_at = {};
             return;
         }
+        // An instance that did not report in time may do so while an evacuation waits for it.
+        group.all_released = group.all_released || have_all_released(id, group);
         const auto* best = choose_successor(now, id, group);
         if (best == nullptr) {
             const auto waited = now - group.phase_since;
@@ -881,6 +952,7 @@
             return;
         }
         group.candidate = best->entry.id;
+        group.candidate_chosen_here = true;
         auto next = group.record;
         next.candidate = group.candidate;
         write_group(now, id, group, next, change_phase::writing_candidate);
@@ -888,6 +960,14 @@
 
     auto tick_promoting(time_point now, const group_id& id, coordinated_group& group) -> void {
         const auto* server = find(group.candidate);
+        const auto is_ordered = !group.candidate_chosen_here || group.ordered_at != time_point{};
+        if (is_stopped(group.candidate) || (is_evacuated(group.candidate) && !is_ordered)) {
+            // It may lead already, but no instance has a permission to use it.
+            group.dropped_candidate = group.candidate;
+            group.excluded.insert(group.candidate);
+            restart_choice(now, group);
+            return;
+        }
         probe(now, group.candidate, promotion_probe_interval);
         if (server != nullptr && server->status && server->status->is_primary &&
             server->status->term > group.record.term) {
@@ -1005,6 +1085,10 @@
     }
 }
 
+auto primary_coordinator::set_evacuations(time_point now, const evacuation_view& view) -> void {
+    impl_->set_evacuations(now, view);
+}
+
 auto primary_coordinator::on_instances(time_point /*now*/, const std::set<instance_id>& registered) -> void {
     impl_->on_registered(registered);
 }
--- a/src/libcitronlug/primary_coordinator_test.cpp
+++ b/src/libcitronlug/primary_coordinator_test.cpp
@@ -1,5 +1,6 @@
 #include <citronlug/primary_coordinator.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -59,6 +60,7 @@
     std::vector<backend_server> registered_servers{server("s1"), server("s2"), server("s3")};
     std::set<instance_id> registered{instance_id{"a"}, instance_id{"b"}};
     std::vector<order_promotion> orders;
+    std::vector<server_id> asked; ///< servers that were probed or ordered to step down
     bool promotions_work = true;
     bool promotions_answer = true; ///< orders get an answer
     bool lose_write_answers = false;
@@ -111,12 +113,15 @@
         } else if (std::holds_alternative<list_instances>(action)) {
             node.on_instances(now, registered);
         } else if (const auto* probe = std::get_if<probe_server>(&action)) {
+            asked.push_back(probe->server);
             const auto& it = server_states[probe->server];
             auto result = probe_result{it.alive, !it.alive, {}};
             if (it.alive) {
                 result.status = server_status{it.is_primary, it.term, {it.term, it.log}};
             }
             node.on_probe(now, probe->server, now, result);
+        } else if (const auto* step_down = std::get_if<order_step_down>(&action)) {
+            asked.push_back(step_down->server);
         } else if (const auto* order = std::get_if<order_promotion>(&action)) {
             orders.push_back(*order);
             auto& it = server_states[order->server];
@@ -671,3 +676,148 @@
         CHECK(lease_read_interval(n) == 1500ms);
     }
 }
+
+// Scenario: s1, the primary, and s2, the most advanced replica, are in domain "a"; s3 is in domain "b".
+struct evacuation_fixture : coordinator_fixture {
+    void setup() override {
+        coordinator_fixture::setup();
+        server_states[server_id{"s2"}].log = 105;
+        auto servers = registered_servers;
+        servers[0].domain = servers[1].domain = failure_domain{"a"};
+        servers[2].domain = failure_domain{"b"};
+        servers[0].reports_primary = true;
+        set_registered_servers(servers);
+    }
+
+    auto evacuate(const std::set<failure_domain>& domains, const std::set<failure_domain>& stopped = {},
+                  bool is_known = true) -> void {
+        for (auto& [name, it] : coordinators) {
+            it->set_evacuations(now, {is_known, domains, stopped});
+        }
+        asked.clear();
+    }
+
+    auto was_asked(const std::string& id) -> bool {
+        return std::find(asked.begin(), asked.end(), server_id{id}) != asked.end();
+    }
+
+    const std::set<failure_domain> zone_a{failure_domain{"a"}};
+    const std::set<failure_domain> zone_b{failure_domain{"b"}};
+};
+
+TEST_GROUP_BASE(coordinator_evacuation, evacuation_fixture){};
+
+// Guards against a primary that stays in an evacuated domain, a successor in that domain, and messages to its
+// servers after the stop.
+TEST(coordinator_evacuation, moves_the_primary_out_of_the_domain) {
+    run_for(1s);
+    evacuate(zone_a);
+    run_for(1s);
+    CHECK_EQUAL(std::string{"s3"}, record().primary.value);
+    CHECK_EQUAL(2U, record().generation);
+    CHECK_FALSE(record().changing);
+    evacuate(zone_a, zone_a);
+    run_for(5s);
+    CHECK_FALSE(was_asked("s1") || was_asked("s2"));
+    // Guards against a change back, or one that the silence before causes, when the evacuation is withdrawn.
+    evacuate({});
+    run_for(5s);
+    CHECK_TRUE(was_asked("s1")); // ordered to step down
+    CHECK_EQUAL(2U, record().generation);
+}
+
+// Guards against a change that loses acknowledged writes, and against a group that stays without a primary
+// when the evacuation has been withdrawn.
+TEST(coordinator_evacuation, loses_no_acknowledged_write) {
+    run_for(1s);
+    acknowledged = {1, 110};
+    server_states[server_id{"s1"}].log = 110;
+    evacuate(zone_a);
+    run_for(2s);
+    evacuate(zone_a, zone_a);
+    run_for(10s);
+    CHECK_EQUAL(std::string{"s1"}, record().primary.value);
+    CHECK_EQUAL(0U, orders.size());
+    CHECK_FALSE(was_asked("s1"));
+    evacuate({});
+    server_states[server_id{"s3"}].log = 110;
+    run_for(1s);
+    CHECK_EQUAL(std::string{"s3"}, record().primary.value);
+    CHECK_FALSE(record().changing);
+}
+
+// Guards against a loss of writes that no living instance reported: one that did not release its permission
+// may have acknowledged more, which after the stop nobody can ask the old primary for.
+TEST(coordinator_evacuation, waits_for_all_instances_after_the_stop) {
+    run_for(1s);
+    instances_release = false;
+    evacuate(zone_a);
+    run_for(600ms);
+    evacuate(zone_a, zone_a);
+    run_for(10s);
+    CHECK_EQUAL(0U, orders.size());
+    instances_release = true;
+    run_for(1s);
+    CHECK_EQUAL(std::string{"s3"}, record().primary.value);
+}
+
+// Guards against a group without a primary because no server is left to lead it.
+TEST(coordinator_evacuation, of_all_servers_keeps_the_primary) {
+    run_for(1s);
+    auto all = zone_a;
+    all.insert(failure_domain{"b"});
+    evacuate(all);
+    run_for(2s);
+    evacuate(all, all);
+    run_for(5s);
+    CHECK_EQUAL(1U, record().generation);
+    CHECK_TRUE(asked.empty());
+    evacuate({});
+    run_for(3s);
+    CHECK_EQUAL(1U, record().generation);
+    CHECK_FALSE(record().changing);
+}
+
+// Guards against the promotion of a server whose domain was evacuated after it was chosen.
+TEST(coordinator_evacuation, drops_a_candidate_that_was_not_ordered_to_lead) {
+    run_for(1s);
+    server_states[server_id{"s2"}].log = 100;
+    server_states[server_id{"s1"}].alive = false;
+    for (auto n = 0; n < 200 && record().candidate.empty(); ++n) {
+        run_for(20ms);
+    }
+    CHECK_EQUAL(std::string{"s3"}, record().candidate.value);
+    CHECK_EQUAL(0U, orders.size());
+    evacuate(zone_b);
+    run_for(1s);
+    CHECK_EQUAL(std::string{"s2"}, record().primary.value);
+    CHECK_EQUAL(1U, orders.size());
+}
+
+// Guards against a change that is abandoned half-way, and against a primary that stays because it is new.
+TEST(coordinator_evacuation, changes_again_after_an_ordered_candidate_leads) {
+    run_for(1s);
+    server_states[server_id{"s2"}].log = 103;
+    promotions_work = false;
+    server_states[server_id{"s1"}].alive = false;
+    run_for(1500ms);
+    CHECK_EQUAL(std::string{"s3"}, orders.back().server.value);
+    evacuate(zone_b);
+    promotions_work = true;
+    run_for(1500ms);
+    CHECK_EQUAL(3U, record().generation);
+    CHECK_EQUAL(std::string{"s2"}, orders.back().server.value);
+}
+
+// Guards against use of servers by a coordinator that has not read the evacuations, and against a group whose
+// first record gives callers a primary in an evacuated domain.
+TEST(coordinator_evacuation, is_known_before_the_first_record) {
+    evacuate({}, {}, false);
+    run_for(1s);
+    CHECK_TRUE(asked.empty());
+    evacuate(zone_a, zone_a);
+    run_for(3s);
+    CHECK_FALSE(was_asked("s1") || was_asked("s2"));
+    CHECK_EQUAL(std::string{"s3"}, record().primary.value);
+    CHECK_FALSE(record().changing);
+}
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -554,7 +554,7 @@
                    (it.second.current_work != 0 || now - it.second.idle_since < position_probe_idle);
         });
         const auto* primary = pool_.server(group.primary.primary);
-        if (!has_recent_reads || primary == nullptr) {
+        if (!has_recent_reads || primary == nullptr || !evacuations_.may_use(*primary, true)) {
             continue;
         }
         const auto connection = pool_.acquire_any(primary->id, now);
--- a/src/libcitronlug/session_proxy.cpp
+++ b/src/libcitronlug/session_proxy.cpp
@@ -253,7 +253,9 @@
 auto session_proxy::implementation::roll_back_connection(time_point now, session_transaction& transaction)
     -> void {
     const auto id = std::exchange(transaction.connection, 0);
-    if (id != 0 && pool_.find(id) != nullptr) {
+    if (id != 0 && is_stopped(id)) {
+        close_connection(id); // the server rolls back when its connection closes
+    } else if (id != 0 && pool_.find(id) != nullptr) {
         // The connection returns to the pool when the server has answered the rollback.
         rolling_back_[id] = now;
         effects_.send_server(id, {server_action::rollback, {}, {}, {}, {}, 0});
@@ -427,6 +429,10 @@
     impl_->set_instances(now, live);
 }
 
+auto session_proxy::set_evacuations(time_point now, const evacuation_view& view) -> void {
+    impl_->set_evacuations(now, view);
+}
+
 auto session_proxy::set_final_position(time_point now, const group_id& group, position at) -> void {
     impl_->group_of(group).samples.seal(at);
     impl_->dispatch_queued(now, group);
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -186,6 +186,14 @@
     auto set_servers(time_point now, const std::vector<backend_server>& servers) -> void;
     auto set_primary(time_point now, const primary_view& view) -> void;
     auto set_instances(time_point now, std::uint32_t live) -> void;
+    auto set_evacuations(time_point now, const evacuation_view& view) -> void;
+    /// Closes idle and opening connections that may no longer be used, and aborts the open transactions of
+    /// stopped servers.
+    auto enforce_evacuations(time_point now) -> void;
+    /// True if no server that the evacuations leave can run the work, or will without a change of primary.
+    auto is_evacuated(const statement_work& work) -> bool;
+    /// True if the evacuations allow no further message on this connection.
+    [[nodiscard]] auto is_stopped(connection_id id) -> bool;
     auto update_connection_budgets() -> void;
     auto abort_primary_transactions(time_point now, const group_id& group) -> void;
     auto on_tick(time_point now) -> void;
@@ -225,6 +233,7 @@
     std::unordered_map<std::string, duration> mean_service_times_;
     std::uint64_t next_work_id_ = 1;
     std::uint32_t instances_ = default_instance_count;
+    evacuation_view evacuations_;
     double retry_tokens_ = 10; ///< not 0, so that an instance can retry right after its start
     std::optional<shutdown_schedule> shutdown_; ///< empty until a graceful shutdown has begun
 };
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -812,3 +812,114 @@
         CHECK_TRUE(it.last_exit < begun + leave_time);
     }
 }
+
+// Scenario: the primary is in domain "a", the replica in domain "b".
+struct session_evacuation_base : session_proxy_base {
+    const std::set<failure_domain> zone_a{failure_domain{"a"}};
+    const std::set<failure_domain> zone_b{failure_domain{"b"}};
+
+    void setup() override {
+        session_proxy_base::setup();
+        auto other = make_server(replica);
+        other.domain = failure_domain{"b"};
+        proxy.set_servers(now, {make_server(primary), other});
+    }
+
+    auto evacuate(const std::set<failure_domain>& domains, const std::set<failure_domain>& stopped = {})
+        -> void {
+        proxy.set_evacuations(now, {true, domains, stopped});
+    }
+
+    /// Reads on "browse", which the replica serves, up to the request to the server.
+    auto read(caller_id caller) -> recording_effects::sent_request {
+        proxy.on_statement(now, caller, make_statement(session_verb::read, "q", "READ a"));
+        open_pending_connections();
+        return next_request();
+    }
+
+    auto is_closed(connection_id id) -> bool {
+        const auto& closed = effects.closed_servers;
+        return std::find(closed.begin(), closed.end(), id) != closed.end();
+    }
+};
+
+TEST_GROUP_BASE(session_evacuation, session_evacuation_base){};
+
+// Guards against new work and warm connections at an evacuated replica, and against running statements that
+// are cut off.
+TEST(session_evacuation, of_a_replica_lets_running_statements_end) {
+    start_session(1, "browse");
+    const auto first = read(1);
+    CHECK(effects.opened.at(first.connection) == replica);
+    evacuate(zone_b);
+    CHECK_FALSE(is_closed(first.connection));
+    answer_request(first.connection, make_answer(transaction_state::idle));
+    CHECK_EQUAL(std::string{"ok"}, last_result(1));
+    proxy.on_tick(now);
+    CHECK_TRUE(is_closed(first.connection));
+    const auto second = read(1);
+    CHECK(effects.opened.at(second.connection) == primary);
+    // Guards against a server that stays unused after the withdrawal.
+    evacuate({});
+    start_session(2, "browse");
+    CHECK(effects.opened.at(read(2).connection) == replica);
+}
+
+// Guards against a connection to an evacuated replica that is used because it was being opened.
+TEST(session_evacuation, closes_connections_that_are_being_opened) {
+    start_session(1, "browse");
+    proxy.on_statement(now, 1, make_statement(session_verb::read, "q", "READ a"));
+    const auto opening = effects.opening.front();
+    evacuate(zone_b);
+    CHECK_TRUE(is_closed(opening));
+    open_pending_connections();
+    CHECK(effects.opened.at(next_request().connection) == primary);
+}
+
+// Guards against callers that wait for a primary in an evacuated domain, and against statements to it.
+TEST(session_evacuation, of_a_primary_serves_until_the_stop) {
+    const auto connection = begin_transaction_with_write();
+    evacuate(zone_a);
+    start_session(2, "place");
+    proxy.on_statement(now, 2, make_statement(session_verb::write, "q1", "WRITE a c"));
+    open_pending_connections();
+    const auto running = next_request();
+    evacuate(zone_a, zone_a);
+    // The open transaction has not run; the write that was sent is answered as the server says.
+    CHECK_TRUE(is_closed(connection));
+    proxy.on_statement(now, 1, make_statement(session_verb::commit, "q3", "COMMIT"));
+    CHECK_EQUAL(std::string{"aborted"}, last_result(1));
+    answer_request(running.connection, make_answer(transaction_state::idle, position{3, 101}));
+    CHECK_EQUAL(std::string{"ok"}, last_result(2));
+    proxy.on_statement(now, 2, make_statement(session_verb::write, "q2", "WRITE a d"));
+    CHECK_EQUAL(std::string{"busy"}, last_result(2));
+    CHECK_EQUAL(1U, counters.counter("citronlug_evacuation_refusals_total"));
+    proxy.on_tick(now);
+    CHECK_TRUE(is_closed(running.connection));
+    CHECK_TRUE(effects.requests.empty());
+}
+
+// Guards against a commit that is sent after the stop because its preparation began before.
+TEST(session_evacuation, ends_a_statement_in_preparation) {
+    start_session(1, "place");
+    proxy.on_statement(now, 1, make_statement(session_verb::begin, "q1", "BEGIN"));
+    proxy.on_statement(now, 1, make_statement(session_verb::write, "q2", "WRITE a b"));
+    open_pending_connections();
+    const auto begin = next_request();
+    evacuate(zone_a, zone_a);
+    answer_request(begin.connection, make_answer(transaction_state::open, position{3, 100}));
+    CHECK_EQUAL(std::string{"aborted"}, last_result(1));
+    CHECK_TRUE(effects.requests.empty());
+    CHECK_TRUE(is_closed(begin.connection));
+}
+
+// Guards against an instance that sends to servers before it knows the evacuations.
+TEST(session_evacuation, is_unknown_at_first) {
+    proxy.set_evacuations(now, {false, {}, {}});
+    start_session(1, "place");
+    proxy.on_statement(now, 1, make_statement(session_verb::write, "q1", "WRITE a b"));
+    CHECK_TRUE(effects.opened.empty());
+    evacuate({});
+    open_pending_connections();
+    CHECK_EQUAL(1U, effects.requests.size());
+}
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -202,11 +202,17 @@
 }
 
 auto session_proxy::implementation::is_unservable(time_point now, const statement_work& work) -> bool {
-    return is_isolated(now, group_of(work.route->group)) &&
-           (work.needs_primary || !requirement_of(work).replica_allowed);
+    return is_evacuated(work) || (is_isolated(now, group_of(work.route->group)) &&
+                                  (work.needs_primary || !requirement_of(work).replica_allowed));
 }
 
 auto session_proxy::implementation::refuse_unservable(time_point now, statement_work& work) -> void {
+    if (is_evacuated(work)) {
+        counters_.count("citronlug_evacuation_refusals_total");
+        finish_with_error(now, work, session_error::busy,
+                          "the failure domain of the primary is being evacuated; retry in 500 ms");
+        return;
+    }
     const auto session = sessions_.find(work.caller);
     if (session != sessions_.end() && !can_serve(now)) {
         // When the caller reconnects, the load balancer chooses another instance.
@@ -241,7 +247,8 @@
     const auto has_permit = may_use_primary(now, group);
     if (work.needs_primary) {
         const auto* primary = has_permit ? pool_.server(group.primary.primary) : nullptr;
-        return primary != nullptr && pool_.health(primary->id).queue_full_until <= now
+        return primary != nullptr && evacuations_.may_use(*primary, true) &&
+                       pool_.health(primary->id).queue_full_until <= now
                    ? std::vector{primary}
                    : std::vector<const backend_server*>{};
     }
@@ -249,7 +256,7 @@
     auto found = std::vector<std::pair<duration, const backend_server*>>{};
     for (const auto* it : pool_.servers_of(work.route->group)) {
         const auto is_primary = has_permit && it->id == group.primary.primary;
-        if (work.tried_servers.contains(it->id) ||
+        if (work.tried_servers.contains(it->id) || !evacuations_.may_use(*it, is_primary) ||
             (!is_primary && (!by_replica || work.lagging_servers.contains(it->id) ||
                              pool_.health(it->id).lagging_until > now))) {
             continue;
@@ -319,6 +326,11 @@
     auto* connection = pool_.find(work.connection);
     auto& session = sessions_.at(work.caller);
     auto& group = group_of(work.route->group);
+    if (is_stopped(work.connection)) {
+        finish_with_error(now, work, session_error::aborted,
+                          "the failure domain of the server is being evacuated; retry in 500 ms");
+        return;
+    }
     work.stage = work_stage::preparing;
     work_of_connection_[work.connection] = work.id;
     work.prepare_failure.reset();
@@ -385,6 +397,11 @@
     const auto has_permit = may_use_primary(now, group);
     auto request = server_request{};
     request.id = work.statement.id;
+    if (work.in_transaction && is_stopped(work.connection)) {
+        finish_with_error(now, work, session_error::aborted,
+                          "the failure domain of the server is being evacuated; retry in 500 ms");
+        return;
+    }
     if (work.in_transaction) {
         auto& transaction = *session.transaction;
         if (transaction.generation != 0 &&
@@ -400,8 +417,10 @@
     } else {
         const auto at_primary = has_permit && work.server == group.primary.primary;
         const auto requirement = at_primary ? read_requirement{} : requirement_of(work);
-        if (!at_primary && (work.needs_primary || !requirement.replica_allowed)) {
-            // The permit or the known position expired while the connection was being prepared.
+        const auto allowed = evacuations_.may_use(pool_.find(work.connection)->server, at_primary);
+        if (!allowed || (!at_primary && (work.needs_primary || !requirement.replica_allowed))) {
+            // The permit or the known position expired, or the server's failure domain was evacuated, while
+            // the connection was being prepared.
             release_connection(now, work);
             enqueue(now, work);
             return;
@@ -552,6 +571,7 @@
         dispatch_queued(now, id);
     }
     probe_primaries(now);
+    enforce_evacuations(now);
     close_sessions(now);
     refuse_expired_starts(now);
 }
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -31,6 +31,10 @@
 /// within them. Permissions need the primaries within 2 s of the coordinator's last answer.
 constexpr auto primaries_resume_delay = duration{400ms};
 constexpr auto servers_resume_delay = duration{1s};
+/// After the coordinator is lost, instances read the evacuations spread over this span before their evidence
+/// lapses, less a margin for the call: the stop must follow within the limit of the evidence.
+constexpr auto evacuations_resume_spread = duration{800ms};
+constexpr auto evacuations_call_margin = duration{200ms};
 
 /// Delay of the first watch after a listing, while this instance does not coordinate.
 constexpr auto follower_watch_delay = duration{500ms};
@@ -77,6 +81,7 @@
         }
     }
     apply_primaries(now);
+    enforce_evacuations(now);
     for (const auto& it : coordinator_.on_tick(now)) {
         perform(now, it);
     }
@@ -101,6 +106,7 @@
         if (coordinating) {
             rules_.mirror.list_again();
             servers_.mirror.list_again();
+            evacuated_.mirror.list_again();
         }
     }
     if (coordinating) {
@@ -123,8 +129,13 @@
 }
 
 auto session_daemon::issue_store_calls(time_point now) -> void {
-    const auto all = std::vector<const store_mirror*>{&primaries_.mirror, &servers_.mirror, &rules_.mirror};
-    for (auto* it : {&rules_, &servers_, &primaries_}) {
+    auto all = std::vector<const store_mirror*>{&primaries_.mirror, &servers_.mirror, &rules_.mirror};
+    auto kinds = std::vector<mirrored_kind*>{&rules_, &servers_, &primaries_};
+    if (evacuations_.is_watched()) {
+        all.push_back(&evacuated_.mirror);
+        kinds.push_back(&evacuated_);
+    }
+    for (auto* it : kinds) {
         const auto call = may_call(all, it->mirror) ? it->mirror.next_call(now) : std::nullopt;
         if (!call) {
             continue;
@@ -188,6 +199,15 @@
             apply_primaries(now);
         }
         break;
+    case record_kind::evacuations:
+        if (answer.outcome == store_outcome::ok && it.mirror.confirmed_at()) {
+            auto list = evacuation_evidence{0, {}, *it.mirror.confirmed_at(), now, answer.era};
+            for (const auto& [name, record] : it.mirror.records()) {
+                list.domains.push_back(name);
+            }
+            apply_evacuations(now, list);
+        }
+        break;
     case record_kind::lease:
     case record_kind::instances:
         break;
@@ -230,7 +250,13 @@
     rules_.mirror.set_paused(follows && now < rules_due_at, is_coordinating_ ? now : rules_due_at);
     servers_.mirror.set_paused(follows, is_coordinating_ ? now : now + servers_resume_delay);
     primaries_.mirror.set_paused(follows, is_coordinating_ ? now : now + primaries_resume_delay);
-    for (auto* it : {&rules_, &servers_, &primaries_}) {
+    const auto evacuations_due_at = evacuations_.due_at();
+    const auto early = evacuations_call_margin +
+                       duration{static_cast<std::int64_t>(
+                           run_ % static_cast<std::uint64_t>(evacuations_resume_spread / duration{1}))};
+    evacuated_.mirror.set_paused(follows && now < evacuations_due_at,
+                                 is_coordinating_ ? now : evacuations_due_at - early);
+    for (auto* it : {&rules_, &servers_, &primaries_, &evacuated_}) {
         it->mirror.set_first_watch_delay(is_coordinating_ ? duration{} : follower_watch_delay);
     }
     rules_.mirror.set_watch_wait(is_coordinating_ ? rules_watch_coordinator : rules_watch_fallback);
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -96,6 +96,14 @@
             known = {asked_at, it.record};
         }
     }
+    if (!is_coordinating_ && answer.evacuations_age) {
+        auto list = evacuation_evidence{answer.fencing_token, {}, {}, now - *answer.evacuations_age, 0};
+        list.since = asked_at - *answer.evacuations_age;
+        for (const auto& it : answer.evacuated) {
+            list.domains.push_back(it.value);
+        }
+        apply_evacuations(now, list);
+    }
     if (!is_coordinating_) {
         fetch_newer_servers(answer.servers_version, newest_lease()->peer_address);
     }
@@ -185,6 +193,11 @@
     if (const auto confirmed = rules_.mirror.confirmed_at()) {
         answer.rules_age = now - *confirmed;
     }
+    if (const auto evidence = evacuations_.evidence_at()) {
+        answer.evacuations_age = now - *evidence;
+        const auto& domains = enforced_evacuations_.domains;
+        answer.evacuated.assign(domains.begin(), domains.end());
+    }
     answer.servers_version = servers_version_;
     auto groups = std::vector<group_status>{};
     for (const auto& [id, record] : coordinator_.records()) {
--- a/src/sessiond/server_links.cpp
+++ b/src/sessiond/server_links.cpp
@@ -193,6 +193,14 @@
     it->second.request_sent = true;
 }
 
+auto server_probes::close(const server_id& server) -> void {
+    const auto it = probes_.find(server);
+    if (it != probes_.end()) {
+        links_.close(it->second.connection);
+        probes_.erase(it);
+    }
+}
+
 auto server_probes::on_tick(time_point now) -> void {
     auto timed_out = std::vector<server_id>{};
     for (auto& [id, it] : probes_) {
--- a/src/sessiond/server_links.h
+++ b/src/sessiond/server_links.h
@@ -54,6 +54,8 @@
 
     auto probe(time_point now, const backend_server& server) -> void;
     auto step_down(const backend_server& server, term_number term) -> void;
+    /// Closes the connection of a server that may no longer be used. Its probe in progress is not reported.
+    auto close(const server_id& server) -> void;
     /// Fails probes that have timed out and closes idle connections.
     auto on_tick(time_point now) -> void;
 
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -82,7 +82,10 @@
               }}}
     , rules_{record_kind::rules, store_mirror{rules_watch_fallback}}
     , servers_{record_kind::servers, store_mirror{servers_watch}}
-    , primaries_{record_kind::primaries, store_mirror{primaries_watch_fallback}} {
+    , primaries_{record_kind::primaries, store_mirror{primaries_watch_fallback}}
+    , evacuated_{record_kind::evacuations, store_mirror{evacuation_watch_wait}}
+    , evacuations_{settings_.evacuation_limit} {
+    enforce_evacuations(started_at_);
     proxy_.limiter().set_window(settings_.limit_window);
 }
 
@@ -133,7 +136,8 @@
 }
 
 auto session_daemon::is_ready() const -> bool {
-    return !leaving_ && active_rules_ && servers_listed_ && proxy_.can_serve(clock_now());
+    return !leaving_ && active_rules_ && servers_listed_ && enforced_evacuations_.is_known &&
+           proxy_.can_serve(clock_now());
 }
 
 auto session_daemon::reload(const session_settings& settings) -> void {
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -6,6 +6,7 @@
 #include "platform.h"
 #include "server_links.h"
 
+#include <citronlug/evacuation.h>
 #include <citronlug/primary_coordinator.h>
 #include <citronlug/report_exchange.h>
 #include <citronlug/session_proxy.h>
@@ -93,6 +94,10 @@
     /// Fetches the coordinator's list of servers if its version differs from this instance's.
     auto fetch_newer_servers(std::uint64_t version, const std::string& address) -> void;
     auto apply_primaries(time_point now) -> void;
+    /// Takes a list of evacuations over and logs a change.
+    auto apply_evacuations(time_point now, const evacuation_evidence& list) -> void;
+    /// Enforces the evacuations as of now.
+    auto enforce_evacuations(time_point now) -> void;
     auto register_instance(time_point now) -> void;
     auto perform(time_point now, const coordinator_action& action) -> void;
     using instance_addresses = std::map<instance_id, std::string>;
@@ -149,7 +154,11 @@
     mirrored_kind rules_;
     mirrored_kind servers_;
     mirrored_kind primaries_;
-    bool lease_read_due_ = false; ///< the lease was handed over to this instance
+    mirrored_kind evacuated_;
+    evacuation_list evacuations_;
+    evacuation_view enforced_evacuations_;
+    bool evacuations_cut_ = false; ///< logged that there are too many
+    bool lease_read_due_ = false;  ///< the lease was handed over to this instance
     bool reading_lease_ = false;
     bool reading_primaries_ = false; ///< after the lease was acquired
     time_point next_lease_read_at_;
