Keep the old primary when an evacuation is withdrawn in time

Cause: a change begun for an evacuation that found no server with all acknowledged writes left the group without a primary after the withdrawal, until another server had caught up, although the old primary still led. Change: if no successor is recorded and the old primary still leads in the recorded term, it is recorded again. Result: primary_coordinator_test, 36 tests pass, among them loses_no_acknowledged_write.

--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -88,6 +88,7 @@
     change_phase phase = change_phase::steady;
     std::string reason;
     bool planned = false;
+    bool for_evacuation = false; ///< begun here, because the primary's failure domain was evacuated
     time_point phase_since;
     time_point permissions_end;
     std::optional<std::set<instance_id>> awaited_instances;
@@ -308,7 +309,7 @@
             group.phase = change_phase::steady;
             group.not_before = group.record.generation > 1 ? now + change_cooldown : now;
             group.sample.reset();
-            group.step_downs_left = step_down_attempts;
+            group.step_downs_left = group.old_primary == group.record.primary ? 0 : step_down_attempts;
             group.excluded.clear();
             emit(log_event::change_finished, id.value,
                  fmt::format("generation={} primary={} term={}", group.record.generation,
@@ -713,6 +714,7 @@
     auto tick_steady(time_point now, const group_id& id, coordinated_group& group) -> void {
         if (group.record.changing) {
             if (now >= group.not_before) {
+                group.for_evacuation = false;
                 // A change left unfinished by another coordinator, or by a write whose answer was lost.
                 group.reason = "continued";
                 begin_release(now, group);
@@ -757,6 +759,7 @@
         }
         group.reason = reason;
         group.planned = leaving;
+        group.for_evacuation = evacuated;
         auto next = group.record;
         ++next.generation;
         next.changing = true;
@@ -921,6 +924,16 @@
         return can_catch_up || waited < catch_up_timeout ? nullptr : best;
     }
 
+    /// True if the change was begun for an evacuation that is withdrawn, no successor can have been ordered
+    /// to lead, and the primary still leads.
+    [[nodiscard]] auto may_keep_primary(const coordinated_group& group) const -> bool {
+        const auto* primary = find(group.record.primary);
+        return group.for_evacuation && group.record.candidate.empty() && primary != nullptr &&
+               !evacuations_.is_evacuated(primary->entry) && primary->entry.state == server_state::ready &&
+               is_fresh(group, *primary) && primary->status->is_primary &&
+               primary->status->term == group.record.term;
+    }
+
     auto tick_choosing_successor(time_point now, const group_id& id, coordinated_group& group) -> void {
         // The candidate in the record may already have been promoted.
         if (!group.record.candidate.empty() && !group.excluded.contains(group.record.candidate) &&
@@ -939,6 +952,12 @@
         // An instance that did not report in time may do so while an evacuation waits for it.
         group.all_released = group.all_released || have_all_released(id, group);
         const auto* best = choose_successor(now, id, group);
+        if (best == nullptr && may_keep_primary(group)) {
+            write_group(now, id, group,
+                        {group.record.primary, group.record.term, group.record.generation, false, {}},
+                        change_phase::writing_result);
+            return;
+        }
         if (best == nullptr) {
             const auto waited = now - group.phase_since;
             if (waited > catch_up_timeout) {
