Stop reading behind a text that is cut off after a backslash

Cause: a string that ends with a backslash moved the scanner one past the end, which at_end() did not recognise, so it read memory behind an answer of the store. json_text_test crashed in 4 of 49 runs, depending on what lay there. Change: at_end() is also true past the end.

--- a/src/libcitronlug/json_text.cpp
+++ b/src/libcitronlug/json_text.cpp
@@ -17,7 +17,7 @@
             ++at_;
         }
     }
-    [[nodiscard]] auto at_end() const -> bool { return at_ == text_.size(); }
+    [[nodiscard]] auto at_end() const -> bool { return at_ >= text_.size(); }
 
     auto accept(char expected) -> bool {
         if (at_end() || text_[at_] != expected) {
