--- a/src/include/citronlug/session_proxy.h
+++ b/src/include/citronlug/session_proxy.h
@@ -3,6 +3,7 @@
 #include <citronlug/account_limiter.h>
 #include <citronlug/cold_start.h>
 #include <citronlug/desired_state.h>
+#include <citronlug/evacuation.h>
 #include <citronlug/log.h>
 #include <citronlug/log_events.h>
 #include <citronlug/metrics.h>
@@ -77,6 +78,8 @@
     /// Until it is called, placement does not learn. To be called before the first `set_servers`; `seed`
     /// differs between instances.
     auto set_server_limits(server_limit_mode mode, std::uint64_t seed) -> void;
+    /// To be called whenever the view changes.
+    auto set_evacuations(time_point now, const evacuation_view& view) -> void;
     /// The group has no primary: `at` contains all acknowledged writes until there is a new one.
     auto set_final_position(time_point now, const group_id& group, position at) -> void;
     /// A log position that the group's primary reported after `asked_at` to another instance with a permit.
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -593,7 +593,7 @@
                    (it.second.current_work != 0 || now - it.second.idle_since < position_probe_idle);
         });
         const auto* primary = pool_.server(group.primary.primary);
-        if (!has_recent_reads || primary == nullptr) {
+        if (!has_recent_reads || primary == nullptr || !evacuations_.may_use(*primary, true)) {
             continue;
         }
         if (!cold_.may_pass(now, primary->id, 0, time_point::max())) {
--- a/src/libcitronlug/session_proxy.cpp
+++ b/src/libcitronlug/session_proxy.cpp
@@ -255,7 +255,9 @@
 auto session_proxy::implementation::roll_back_connection(time_point now, session_transaction& transaction)
     -> void {
     const auto id = std::exchange(transaction.connection, 0);
-    if (id != 0 && pool_.find(id) != nullptr) {
+    if (id != 0 && is_stopped(id)) {
+        close_connection(id); // the server rolls back when its connection closes
+    } else if (id != 0 && pool_.find(id) != nullptr) {
         // The connection returns to the pool when the server has answered the rollback.
         if (!cold_.pass(now, pool_.find(id)->server.id)) {
             close_connection(id); // the server rolls back
@@ -446,6 +448,10 @@
     impl_->choice_ = server_choice{seed};
 }
 
+auto session_proxy::set_evacuations(time_point now, const evacuation_view& view) -> void {
+    impl_->set_evacuations(now, view);
+}
+
 auto session_proxy::set_final_position(time_point now, const group_id& group, position at) -> void {
     impl_->group_of(group).samples.seal(at);
     impl_->dispatch_queued(now, group);
--- a/src/sessiond/server_links.h
+++ b/src/sessiond/server_links.h
@@ -56,6 +56,8 @@
     /// True if the next request to the server needs no new connection.
     [[nodiscard]] auto is_connected(const backend_server& server) const -> bool;
     auto step_down(const backend_server& server, term_number term) -> void;
+    /// Closes the connection of a server that may no longer be used. Its probe in progress is not reported.
+    auto close(const server_id& server) -> void;
     /// Fails probes that have timed out and closes idle connections.
     auto on_tick(time_point now) -> void;
 
