Stop later in an evacuated domain if the evidence is fresh

Cause, by review of the merged part: a permission of an instance that does not answer, or that is gone for good and still registered, lasts 2.1 s, and the old primary could be asked until 2.0 s after the evacuation was known. Without its position an asynchronous group had no server that is known to have all writes, and was refused until the evacuation was withdrawn.

Change: the stop counts from the newest evidence that there was no evacuation yet where that is later, and the coordinator's watch waits 0.6 s. One test now starts with evidence of the greatest age, for which its bound of 2 s holds as before; a new test checks the later stop.

--- a/src/include/citronlug/evacuation.h
+++ b/src/include/citronlug/evacuation.h
@@ -11,12 +11,13 @@
 
 namespace citronlug {
 
-/// An instance whose evidence about the evacuations is older reads them from the store itself. A watch of
-/// 1.2 s may confirm the list only after 2.4 s, and a report to the coordinator adds its interval.
+/// An instance whose evidence about the evacuations is older reads them from the store itself.
 inline constexpr auto evacuation_evidence_lifetime = duration{3s};
 
-/// Maximum wait of a watch of the evacuations, as of the rules: the store may leave a watch unanswered.
-inline constexpr auto evacuation_watch_wait = duration{1200ms};
+/// Maximum wait of a watch of the evacuations. Shortly before its answer the evidence is twice as old. The
+/// coordinator's has to leave 2.6 s of a limit of 5 s until the stop: permissions of an instance that does
+/// not answer last 2.1 s, and the old primary has to be asked after them.
+inline constexpr auto evacuation_watch_wait = duration{600ms};
 
 /// More evacuated domains than this are a mistake of an operator; the first by name apply.
 inline constexpr auto max_evacuated_domains = std::size_t{64};
--- a/src/libcitronlug/evacuation/evacuation_list.cpp
+++ b/src/libcitronlug/evacuation/evacuation_list.cpp
@@ -10,15 +10,23 @@
 /// instance knows of the evacuation. The evidence may be 2.9 s old by then, which leaves 0.1 s of 5 s.
 constexpr auto stop_numerator = 2;
 constexpr auto stop_denominator = 5;
+/// The same, counted from the evidence that there was no evacuation yet. The rest of the limit is for
+/// messages under way.
+constexpr auto late_stop_numerator = 9;
+constexpr auto late_stop_denominator = 10;
 
 } // namespace
 
 auto evacuation_list::add(time_point now, const std::string& name) -> bool {
-    // An evacuation in the first list may have begun long ago, so it takes effect at once.
-    const auto grace =
-        is_known_ ? limit_.value_or(duration{}) * stop_numerator / stop_denominator : duration{};
+    // An evacuation in the first list may have begun long ago, so it takes effect at once. One that the last
+    // list did not hold was acknowledged after that list was read: with fresh evidence a change of primary
+    // has time to ask the old primary once more after the permissions of a silent instance have expired.
+    const auto limit = limit_.value_or(duration{});
+    const auto stop_at = is_known_ ? std::max(now + limit * stop_numerator / stop_denominator,
+                                              since_ + limit * late_stop_numerator / late_stop_denominator)
+                                   : now;
     const auto [it, is_new] =
-        domains_.try_emplace(failure_domain{name}, evacuated_domain{now + grace, std::nullopt});
+        domains_.try_emplace(failure_domain{name}, evacuated_domain{stop_at, std::nullopt});
     it->second.held_until.reset();
     return is_new;
 }
--- a/src/libcitronlug/evacuation/evacuation_list_test.cpp
+++ b/src/libcitronlug/evacuation/evacuation_list_test.cpp
@@ -35,6 +35,7 @@
 TEST(evacuations, stop_all_use_after_two_fifths_of_the_limit) {
     auto server = backend_server{};
     server.domain = zone;
+    now += 2900ms; // the oldest evidence with which an instance does not read the list itself
     CHECK_TRUE(read({"a"}));
     CHECK_FALSE(list.view(now).may_use(server, false));
     now += 1990ms;
@@ -47,6 +48,19 @@
     CHECK_TRUE(list.view(now).may_use(server, false));
 }
 
+// Guards against a primary that cannot be asked for its newest write after the permissions of a silent
+// instance have expired (2.1 s), and against use of a server later than the limit.
+TEST(evacuations, stop_later_if_the_evidence_is_fresh) {
+    auto server = backend_server{};
+    server.domain = zone;
+    now += 2 * evacuation_watch_wait + 100ms;
+    CHECK_TRUE(read({"a"}));
+    now += 2600ms;
+    CHECK_TRUE(list.view(now).may_use(server, true));
+    now += 600ms; // 4.5 s after the evidence that there was no evacuation
+    CHECK_FALSE(list.view(now).may_use(server, true));
+}
+
 // Guards against an instance that sends to servers before it has read the list, and that serves an old
 // evacuation once more after each restart.
 TEST(evacuations, bind_an_instance_from_its_start) {
