--- a/src/include/citronlug/token_deputies.h
+++ b/src/include/citronlug/token_deputies.h
@@ -7,8 +7,9 @@
 
 namespace citronlug {
 
-/// Deputies lend tokens of client accounts while there is no coordinator. In a large fleet most instances use an
-/// account rarely: a share of its rate for each of them holds no whole token, while a few larger shares do.
+/// Deputies lend tokens of client accounts while there is no coordinator. In a large fleet most instances use
+/// an account rarely: a share of its rate for each of them holds no whole token, while a few larger shares
+/// do.
 inline constexpr std::size_t max_deputies = 3;
 
 struct token_deputy {
@@ -16,13 +17,14 @@
     std::string address;
 };
 
-/// Chooses deputies among the instances that reported recently. Those with the most processor time come first,
-/// because they answer for the whole fleet. The coordinator `self` is none: deputies are needed when it is lost.
+/// Chooses deputies among the instances that reported recently. Those with the most processor time come
+/// first, because they answer for the whole fleet. The coordinator `self` is none: deputies are needed when
+/// it is lost.
 [[nodiscard]] auto choose_deputies(const instance_id& self, const std::vector<instance_report>& recent)
     -> std::vector<token_deputy>;
 
-/// Which deputy an instance asks next. Requests start at different deputies and move on to the next one when a
-/// deputy does not answer or has too few tokens. Not thread-safe.
+/// Which deputy an instance asks next. Requests start at different deputies and move on to the next one when
+/// a deputy does not answer or has too few tokens. Not thread-safe.
 class deputy_requests {
 public:
     /// `start`: differs between instances.
@@ -30,8 +32,8 @@
         : next_{start} {}
 
     auto set_deputies(std::vector<std::string> addresses) -> void { addresses_ = std::move(addresses); }
-    /// Address to send a request to now; empty if there is no deputy, or a request has no answer yet and is not
-    /// older than `deputy_timeout`.
+    /// Address to send a request to now; empty if there is no deputy, or a request has no answer yet and is
+    /// not older than `deputy_timeout`.
     [[nodiscard]] auto begin(time_point now) -> std::string;
     /// Number of the last request. An answer to an earlier one no longer counts.
     [[nodiscard]] auto number() const -> std::uint64_t { return number_; }
--- a/src/libcitronlug/limits/token_deputies_test.cpp
+++ b/src/libcitronlug/limits/token_deputies_test.cpp
@@ -23,9 +23,9 @@
 TEST(token_deputies, are_the_largest_instances_that_can_lend) {
     auto leaving = report_of("5", 0.5);
     leaving.leaving = true;
-    const auto chosen = choose_deputies(instance_id{"1"}, {report_of("1", 0.5), report_of("2", 0.1),
-                                                           report_of("3", 0.5), report_of("4", 0.5, false),
-                                                           leaving, report_of("6", 0.2), report_of("7", 0.2)});
+    const auto chosen = choose_deputies(
+        instance_id{"1"}, {report_of("1", 0.5), report_of("2", 0.1), report_of("3", 0.5),
+                           report_of("4", 0.5, false), leaving, report_of("6", 0.2), report_of("7", 0.2)});
     CHECK_EQUAL(3U, chosen.size());
     CHECK(chosen[0].instance == instance_id{"3"});
     CHECK(chosen[1].instance == instance_id{"6"});
--- a/src/libcitronlug/resources/message_frames_test.cpp
+++ b/src/libcitronlug/resources/message_frames_test.cpp
@@ -23,7 +23,7 @@
         }
     }
     for (const auto it : words) {
-        content += it * 8;
+        content += std::size_t{8} * it;
     }
     return text + std::string(content, '\xff');
 }
--- a/src/sessiond/daemon_deputies.cpp
+++ b/src/sessiond/daemon_deputies.cpp
@@ -37,22 +37,22 @@
     for (const auto& it : report.token_requests) {
         wanted += it.wanted;
     }
-    fleet_.report(address, report,
-                  [this, now, wanted,
-                   number = deputy_requests_.number()](const std::optional<report_answer>& answer) {
-                      auto lent = std::uint32_t{0};
-                      if (answer) {
-                          for (const auto& it : answer->tokens) {
-                              lent += it.tokens;
-                          }
-                          metrics_.count("citronlug_deputy_tokens_total", {}, lent);
-                          proxy_.limiter().on_lent(clock_now(), now, answer->tokens);
-                      }
-                      deputy_requests_.on_answer(number, lent >= wanted);
-                      if (lent > 0) {
-                          proxy_.retry_admission(clock_now());
-                      }
-                  });
+    fleet_.report(
+        address, report,
+        [this, now, wanted, number = deputy_requests_.number()](const std::optional<report_answer>& answer) {
+            auto lent = std::uint32_t{0};
+            if (answer) {
+                for (const auto& it : answer->tokens) {
+                    lent += it.tokens;
+                }
+                metrics_.count("citronlug_deputy_tokens_total", {}, lent);
+                proxy_.limiter().on_lent(clock_now(), now, answer->tokens);
+            }
+            deputy_requests_.on_answer(number, lent >= wanted);
+            if (lent > 0) {
+                proxy_.retry_admission(clock_now());
+            }
+        });
 }
 
 auto session_daemon::lend_tokens(const instance_report& request) -> report_answer {
