Close the session that was idle for longest when all connections are in use

Cause, by testsuite/untrusted-many-connections beside other load: 900 callers with sessions held all 244 connections, and an ordinary caller was refused for 12 s.

Change: a new connection takes the place of the session that was idle for longest, outside of a transaction and for at least 1 s. Callers do not take that for a failure.

A unit test covers the choice.

--- a/src/include/citronlug/session_proxy.h
+++ b/src/include/citronlug/session_proxy.h
@@ -113,6 +113,10 @@
     /// True while a statement has no answer yet.
     [[nodiscard]] auto has_statements_in_progress() const -> bool;
     [[nodiscard]] auto open_sessions() const -> std::size_t;
+    /// The session that has been idle for longest, without a transaction, and for at least
+    /// `min_idle_before_closing`. It may be closed to make room for another caller: callers do not take the
+    /// end of an idle session for a failure.
+    [[nodiscard]] auto longest_idle_session(time_point now) const -> std::optional<caller_id>;
     /// Size of the session values and prepared statements of a caller.
     [[nodiscard]] auto session_bytes(caller_id caller) const -> std::size_t;
     /// False while this instance has had no permit for any primary for some time, because it reaches neither
--- a/src/libcitronlug/session_proxy.cpp
+++ b/src/libcitronlug/session_proxy.cpp
@@ -14,6 +14,9 @@
 constexpr auto pending_start_timeout = duration{1700ms};
 /// Counted for each session value and prepared statement beside its texts: a node of the map.
 constexpr auto session_entry_bytes = std::size_t{128};
+/// A session is not closed for another one before it has been idle for this time: a caller that has just been
+/// answered may send its next statement.
+constexpr auto min_idle_before_closing = duration{1s};
 constexpr auto stopping_text = std::string_view{"this instance is stopping; retry now at another instance"};
 
 auto make_answer(transaction_state state) -> session_answer {
@@ -541,6 +544,18 @@
     return it == impl_->sessions_.end() ? 0 : it->second.state_bytes;
 }
 
+auto session_proxy::longest_idle_session(time_point now) const -> std::optional<caller_id> {
+    const caller_session* longest = nullptr;
+    for (const auto& [id, it] : impl_->sessions_) {
+        if (it.state == transaction_state::idle && it.current_work == 0 && !it.transaction &&
+            now - it.idle_since >= min_idle_before_closing &&
+            (longest == nullptr || it.idle_since < longest->idle_since)) {
+            longest = &it;
+        }
+    }
+    return longest == nullptr ? std::nullopt : std::optional{longest->id};
+}
+
 auto session_proxy::can_serve(time_point now) const -> bool {
     return impl_->can_serve(now);
 }
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -238,6 +238,22 @@
     CHECK_EQUAL(1U, effects.accepted.size());
 }
 
+// Guards against callers that are kept out because others hold all connections with sessions that they do not
+// use, and against an end of a session that is in use.
+TEST(session_start, names_the_session_that_was_idle_for_longest) {
+    start_session(1, "place");
+    now += 500ms;
+    start_session(2, "place");
+    CHECK_FALSE(proxy.longest_idle_session(now).has_value());
+    now += 700ms;
+    CHECK_EQUAL(1U, proxy.longest_idle_session(now).value_or(0));
+    proxy.on_statement(now, 1, make_statement(session_verb::begin, "q1", "BEGIN"));
+    now += 2s;
+    CHECK_EQUAL(2U, proxy.longest_idle_session(now).value_or(0));
+    proxy.on_statement(now, 2, make_statement(session_verb::write, "q2", "WRITE a b"));
+    CHECK_FALSE(proxy.longest_idle_session(now).has_value());
+}
+
 TEST_GROUP_BASE(session_writes, session_proxy_base){};
 
 // Guards against running a write again that may already have been committed.
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -213,8 +213,17 @@
     const auto now = clock_now();
     while (auto* socket = callers_.nextPendingConnection()) {
         const auto id = next_caller_++;
-        const auto decision = caller_admission_.on_connected(now, id, address_of(*socket),
-                                                             static_cast<std::size_t>(closing_sockets_));
+        const auto address = address_of(*socket);
+        const auto closing = static_cast<std::size_t>(closing_sockets_);
+        auto decision = caller_admission_.on_connected(now, id, address, closing);
+        if (decision.refused == caller_refusal::connections) {
+            // Otherwise callers that open sessions and send nothing would keep all others out.
+            if (const auto idle = proxy_.longest_idle_session(now)) {
+                metrics_.count("citronlug_idle_sessions_closed_total");
+                close_caller(*idle);
+                decision = caller_admission_.on_connected(now, id, address, closing);
+            }
+        }
         if (decision.close) {
             drop_caller(now, *decision.close, caller_refusal::unfinished, {});
         }
