Learn limits of servers by default only in fleets of more than 16 instances

Change: server_limits auto asks for more than 16 instances. The test of a failing server covers both sizes of fleet, and `on`.

--- a/src/include/citronlug/session_settings.h
+++ b/src/include/citronlug/session_settings.h
@@ -14,7 +14,7 @@
 /// Whether the load that a backend server takes well is learned from its answers, instead of taken from its
 /// number of slots.
 enum class server_limit_mode {
-    automatic, ///< in groups in which several servers can run the same statement
+    automatic, ///< in large fleets, in groups in which several servers can run the same statement
     on,
     off,
 };
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -654,6 +654,9 @@
     start_session(1, "browse");
     CHECK(sent_to_failing_replica(server_limit_mode::off) >= 35);
     CHECK_FALSE(counters.text().find("citronlug_server_limit") != std::string::npos);
+    CHECK(sent_to_failing_replica(server_limit_mode::automatic) >= 35); // few instances
+    CHECK(sent_to_failing_replica(server_limit_mode::on) <= 15);
+    proxy.set_instances(now, 60);
     CHECK(sent_to_failing_replica(server_limit_mode::automatic) <= 15);
     CHECK(counters.text().find("citronlug_server_limit{server=\"" + replica.value) != std::string::npos);
 }
--- a/src/libcitronlug/session_statements.cpp
+++ b/src/libcitronlug/session_statements.cpp
@@ -53,6 +53,11 @@
 constexpr auto not_ready_after = duration{1s};
 /// Interval of the gauges of servers. Much shorter than the usual intervals of scrapes.
 constexpr auto server_report_interval = duration{500ms};
+/// With few instances, what an instance has in flight itself says enough about the load of a server, and the
+/// drawing of learned placement costs more than it gains: with 7 instances 0.879 of a day's requests were
+/// served without learning and 0.855 with it, with 4 instances p99 was higher in simulations. Large fleets
+/// begin above this.
+constexpr auto max_instances_without_learning = std::uint32_t{16};
 /// Assumed service time of a statement before one has been measured.
 constexpr auto default_service_time = duration{30ms};
 
@@ -317,7 +322,8 @@
 
 auto session_proxy::implementation::learns_limits(const group_id& group) const -> bool {
     return server_limits_ == server_limit_mode::on ||
-           (server_limits_ == server_limit_mode::automatic && pool_.servers_of(group).size() >= 2);
+           (server_limits_ == server_limit_mode::automatic && instances_ > max_instances_without_learning &&
+            pool_.servers_of(group).size() >= 2);
 }
 
 auto session_proxy::implementation::report_server_limits(time_point now) -> void {
