Take the limits of the machine from environment variables

Cause: the settings template had gained placeholders that only the platform fills in. The cases in review/ render the template themselves and could not run any more ("is not a JSON object: unterminated object at byte 373").

--- a/src/include/citronlug/session_settings.h
+++ b/src/include/citronlug/session_settings.h
@@ -3,9 +3,12 @@
 #include <citronlug/settings.h>
 #include <citronlug/types.h>
 
+#include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -51,8 +54,14 @@
     auto operator==(const session_settings&) const -> bool = default;
 };
 
-/// Parses the settings from JSON. Returns all errors at once; unknown fields are errors.
-[[nodiscard]] auto parse_session_settings(const std::string& text)
+/// Fields that an environment variable may set: `CITRONLUG_` and the name in capitals.
+inline constexpr std::array<std::string_view, 3> environment_settings{"evacuation_limit_ms", "memory_mb",
+                                                                      "descriptors"};
+
+/// Parses the settings from JSON. `overrides`: values of `environment_settings` by field, which replace those
+/// of the text; empty values count as absent. Returns all errors at once; unknown fields are errors.
+[[nodiscard]] auto parse_session_settings(const std::string& text,
+                                          const std::map<std::string, std::string>& overrides = {})
     -> std::variant<session_settings, std::vector<setting_error>>;
 
 } // namespace citronlug
--- a/src/libcitronlug/session_settings.cpp
+++ b/src/libcitronlug/session_settings.cpp
@@ -3,11 +3,13 @@
 #include "numbers.h"
 #include "settings_reader.h"
 
+#include <QJsonArray>
 #include <QJsonDocument>
+#include <QJsonObject>
 
 namespace citronlug {
 
-auto parse_session_settings(const std::string& text)
+auto parse_session_settings(const std::string& text, const std::map<std::string, std::string>& overrides)
     -> std::variant<session_settings, std::vector<setting_error>> {
     auto parse_error = QJsonParseError{};
     const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(text), &parse_error);
@@ -19,7 +21,15 @@
              "one JSON object"}};
     }
     auto errors = std::vector<setting_error>{};
-    auto reader = object_reader{document.object(), "", errors};
+    auto object = document.object();
+    for (const auto& [field, value] : overrides) {
+        if (!value.empty()) {
+            const auto number = QJsonDocument::fromJson('[' + QByteArray::fromStdString(value) + ']')[0];
+            object[QString::fromStdString(field)] =
+                number.isDouble() ? number : QJsonValue{QString::fromStdString(value)};
+        }
+    }
+    auto reader = object_reader{object, "", errors};
     auto settings = session_settings{};
     settings.instance.value = reader.text("instance", is_name, name_syntax);
     settings.domain.value = reader.text("failure_domain", is_name, name_syntax);
--- a/src/libcitronlug/settings_test.cpp
+++ b/src/libcitronlug/settings_test.cpp
@@ -5,6 +5,7 @@
 
 #include <citronlug/testing.h>
 
+#include <citronlug/session_settings.h>
 #include <citronlug/settings.h>
 
 using namespace citronlug;
@@ -135,3 +136,18 @@
         RC_ASSERT(error_paths(object) == expected);
     });
 }
+
+// Guards against a machine's limits that are ignored, or taken from a text that is no number.
+TEST(process_settings_file, of_a_session_instance_can_come_from_the_environment) {
+    const auto text = std::string{
+        R"({"instance":"a","failure_domain":"z","caller_address":"127.0.0.1:1","ready_address":"127.0.0.1:2",
+"peer_address":"127.0.0.1:3","metrics_address":"127.0.0.1:4","store_address":"127.0.0.1:5",
+"promotion_address":"127.0.0.1:6","memory_mb":64})"};
+    const auto parsed = parse_session_settings(text, {{"evacuation_limit_ms", "5000"}, {"descriptors", ""}});
+    const auto& settings = std::get<session_settings>(parsed);
+    CHECK(settings.evacuation_limit == duration{5s});
+    CHECK_EQUAL(64U, *settings.memory_mb);
+    CHECK_FALSE(settings.descriptors.has_value());
+    const auto rejected = parse_session_settings(text, {{"memory_mb", "much"}});
+    CHECK_EQUAL(std::string{"memory_mb"}, std::get<std::vector<setting_error>>(rejected).front().path);
+}
--- a/src/sessiond/session_program.cpp
+++ b/src/sessiond/session_program.cpp
@@ -6,7 +6,9 @@
 #include <QCoreApplication>
 #include <QSocketNotifier>
 
+#include <cctype>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -50,13 +52,28 @@
     return text.str();
 }
 
+/// Values of settings that the environment states.
+auto read_environment() -> std::map<std::string, std::string> {
+    auto found = std::map<std::string, std::string>{};
+    for (const auto field : environment_settings) {
+        auto name = std::string{"CITRONLUG_"};
+        for (const auto it : field) {
+            name += static_cast<char>(std::toupper(static_cast<unsigned char>(it)));
+        }
+        if (const auto* value = std::getenv(name.c_str())) {
+            found.emplace(field, value);
+        }
+    }
+    return found;
+}
+
 auto read_settings(const std::string& path) -> std::optional<session_settings> {
     const auto text = read_file(path);
     if (!text) {
         std::cerr << fmt::format("cannot read the settings file \"{}\"\n", path);
         return std::nullopt;
     }
-    auto parsed = parse_session_settings(*text);
+    auto parsed = parse_session_settings(*text, read_environment());
     if (const auto* errors = std::get_if<std::vector<setting_error>>(&parsed)) {
         for (const auto& it : *errors) {
             std::cerr << format_error(it) << '\n';
