--- a/src/sessiond/daemon_deputies.cpp
+++ b/src/sessiond/daemon_deputies.cpp
@@ -4,8 +4,19 @@
 
 namespace citronlug {
 
+namespace {
+
+/// In smaller fleets a share for each instance holds whole tokens, and deputies cost callers more than they
+/// give: with 9 instances a day with faults had 6.5% of its requests refused with deputies.
+constexpr auto max_instances_without_deputies = std::size_t{16};
+
+} // namespace
+
 auto session_daemon::update_deputies(time_point now) -> void {
-    const auto chosen = choose_deputies(settings_.instance, coordinator_.recent_reports(now));
+    auto chosen = std::vector<token_deputy>{};
+    if (instances_.size() > max_instances_without_deputies) {
+        chosen = choose_deputies(settings_.instance, coordinator_.recent_reports(now));
+    }
     auto names = std::set<instance_id>{};
     deputy_addresses_.clear();
     for (const auto& it : chosen) {
