Choose successors by position and term, so that no parted log leads

Cause: best_successor compared positions only. A former primary that came back while the present one was down had the highest position, with entries of an earlier term that the change of primary had rolled back. The coordinator that made the change kept in memory where the new term began (log_at_change) and used it only for reported writes.

The new event change-chosen states the position of each server, the history and what is known of acknowledged writes.

Why the fix works: the primary record holds where each term began (log_history), written by the same conditional write that records the new primary, before any instance has a permission to use it. A server with another position is no successor for any coordinator. Logs of the history are compared by their numbers, also across terms. The history travels with the records that instances report, so that a store that comes back older does not lose it.

--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <citronlug/log_history.h>
 #include <citronlug/session_protocol.h>
 #include <citronlug/token_request.h>
 
@@ -61,6 +62,7 @@
     bool changing = false;        ///< no more permissions are granted for `primary`
     server_id candidate;          ///< chosen successor while `changing`
     std::uint64_t era = 0;        ///< of the store when it was written; 0: not stated
+    log_history history;          ///< up to `term`; a successor must have a log that belongs to it
 
     auto operator==(const primary_record&) const -> bool = default;
 };
--- a/src/include/citronlug/database_holder.h
+++ b/src/include/citronlug/database_holder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <citronlug/log_history.h>
 #include <citronlug/request.h>
 #include <citronlug/types.h>
 
@@ -25,14 +26,6 @@
     static constexpr std::array<std::string_view, 2> names{"replica", "primary"};
 };
 
-/// Start of a term in a member's history.
-struct term_start {
-    term_number term = 0;
-    log_position start = 0; ///< last position of the previous term
-
-    auto operator==(const term_start&) const -> bool = default;
-};
-
 /// Status that a member reports in answer to a probe.
 struct member_status {
     member_role role = member_role::replica;
--- a/src/include/citronlug/log_events.h
+++ b/src/include/citronlug/log_events.h
@@ -20,6 +20,7 @@
     change_started,
     change_released,
     change_waiting,
+    change_chosen,
     change_ordered,
     change_finished,
     change_abandoned,
@@ -45,16 +46,16 @@
 
 template <>
 struct name_table<log_event> {
-    static constexpr std::array<std::string_view, 35> names{
-        "process-started",      "process-stopping",    "process-stopped",    "settings-reloaded",
-        "dependency-lost",      "dependency-regained", "rules-applied",      "servers-changed",
-        "primary-recorded",     "permit-lost",         "permit-regained",    "change-started",
-        "change-released",      "change-waiting",      "change-ordered",     "change-finished",
-        "change-abandoned",     "duty-taken",          "duty-lost",          "request-served",
-        "request-slow",         "request-retried",     "request-refused",    "request-failed",
-        "request-in-doubt",     "session-rejected",    "transaction-ended",  "server-unusable",
-        "lines-dropped",        "record-rejected",     "evacuation-changed", "server-cold",
-        "server-limit-changed", "store-restored",      "caller-refused"};
+    static constexpr std::array<std::string_view, 36> names{
+        "process-started",  "process-stopping",     "process-stopped",  "settings-reloaded",
+        "dependency-lost",  "dependency-regained",  "rules-applied",    "servers-changed",
+        "primary-recorded", "permit-lost",          "permit-regained",  "change-started",
+        "change-released",  "change-waiting",       "change-chosen",    "change-ordered",
+        "change-finished",  "change-abandoned",     "duty-taken",       "duty-lost",
+        "request-served",   "request-slow",         "request-retried",  "request-refused",
+        "request-failed",   "request-in-doubt",     "session-rejected", "transaction-ended",
+        "server-unusable",  "lines-dropped",        "record-rejected",  "evacuation-changed",
+        "server-cold",      "server-limit-changed", "store-restored",   "caller-refused"};
 };
 
 } // namespace citronlug
--- a/src/libcitronlug/coordination.cpp
+++ b/src/libcitronlug/coordination.cpp
@@ -88,6 +88,9 @@
                               {"changing", record.changing},
                               {"candidate", to_qstring(record.candidate.value)}};
     add_era(object, record.era);
+    if (!record.history.terms().empty()) {
+        object["history"] = to_qstring(to_text(record.history));
+    }
     return to_compact_json(object);
 }
 
@@ -110,12 +113,17 @@
     if (!object || read_uint64(*object, "generation") == 0) {
         return std::nullopt;
     }
+    const auto history = parse_log_history((*object)["history"].toString().toStdString());
+    if (!history) {
+        return std::nullopt;
+    }
     return primary_record{server_id{(*object)["primary"].toString().toStdString()},
                           read_uint64(*object, "term"),
                           read_uint64(*object, "generation"),
                           (*object)["changing"].toBool(),
                           server_id{(*object)["candidate"].toString().toStdString()},
-                          read_uint64(*object, "era")};
+                          read_uint64(*object, "era"),
+                          *history};
 }
 
 auto primary_record_name(const group_id& group) -> std::string {
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -101,9 +101,8 @@
     time_point permissions_end;
     std::optional<std::set<instance_id>> awaited_instances;
     bool all_released = false;    ///< all instances have reported that they released their permissions
-    position newest_acknowledged; ///< newest acknowledged write of any report that was not rolled back
-    std::optional<position> log_at_change; ///< newest write that the present primary had when it took over
-    time_point draining_since;             ///< when the primary was first seen draining; zero if it is not
+    position newest_acknowledged; ///< newest acknowledged write of any report, also one that was rolled back
+    time_point draining_since;    ///< when the primary was first seen draining; zero if it is not
     bool is_waiting_logged = false;
     time_point list_requested_at;
     std::set<server_id> excluded;
@@ -410,8 +409,8 @@
             group.step_downs_left = group.old_primary == group.record.primary ? 0 : step_down_attempts;
             group.excluded.clear();
             emit(log_event::change_finished, id.value,
-                 fmt::format("generation={} primary={} term={}", group.record.generation,
-                             group.record.primary.value, group.record.term));
+                 fmt::format("generation={} primary={} term={} history=[{}]", group.record.generation,
+                             group.record.primary.value, group.record.term, to_text(group.record.history)));
             break;
         case change_phase::writing_restored:
             group.phase = change_phase::steady;
@@ -452,7 +451,7 @@
         server.status_asked_at = asked_at;
         auto& group = groups_[server.entry.group];
         if (group.record.primary == id && !group.record.changing && result.status->is_primary &&
-            asked_at >= group.sample_asked_at) {
+            result.status->term == group.record.term && asked_at >= group.sample_asked_at) {
             group.sample = result.status->received;
             group.sample_asked_at = asked_at;
         }
@@ -519,11 +518,7 @@
                 continue;
             }
             auto& group = known->second;
-            const auto was_rolled_back = group.log_at_change && *it.acknowledged > *group.log_at_change &&
-                                         it.acknowledged->term < group.record.term;
-            if (!was_rolled_back) {
-                group.newest_acknowledged = std::max(group.newest_acknowledged, *it.acknowledged);
-            }
+            group.newest_acknowledged = std::max(group.newest_acknowledged, *it.acknowledged);
         }
     }
 
@@ -694,10 +689,12 @@
         return now - server.answered_at >= unresponsive_timeout && (failing || overdue);
     }
 
+    /// A server whose log is not in the history would bring rolled back entries to light again.
     [[nodiscard]] auto is_eligible_successor(time_point now, const coordinated_group& group,
                                              const tracked_server& server) const -> bool {
         return server.entry.id != group.record.primary && !group.excluded.contains(server.entry.id) &&
                !evacuations_.is_evacuated(server.entry) && server.status &&
+               group.record.history.contains(server.status->received) &&
                now - server.status_asked_at < status_validity && !is_unresponsive(now, server);
     }
 
@@ -717,7 +714,8 @@
         return !group.sample || std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
             const auto& server = it.second;
             return server.entry.group == id && server.entry.state == server_state::ready &&
-                   is_eligible_successor(now, group, server) && server.status->received >= *group.sample;
+                   is_eligible_successor(now, group, server) &&
+                   group.record.history.covers(server.status->received, *group.sample);
         });
     }
 
@@ -853,7 +851,11 @@
         group.reason = "the failure domain of the leading server is evacuated";
         if (leader != nullptr) {
             const auto evacuated = evacuations_.is_evacuated(leader->entry);
-            write_group(now, id, group, {leader->entry.id, leader->status->term, generation, evacuated, {}},
+            auto first =
+                primary_record{leader->entry.id, leader->status->term, generation, evacuated, {}, era_};
+            // Its term began here or before, so nothing beyond this belongs to an earlier term.
+            first.history.begin_term(leader->status->term, leader->status->received.log);
+            write_group(now, id, group, first,
                         evacuated ? change_phase::writing_intent : change_phase::writing_result);
         } else if (evacuated_leader != nullptr) {
             const auto& status = evacuated_leader->status;
@@ -997,10 +999,10 @@
         const auto received = server.status->received;
         const auto* old_primary = find(group.record.primary);
         if (old_primary != nullptr && is_fresh(group, *old_primary) &&
-            received >= old_primary->status->received) {
+            group.record.history.covers(received, old_primary->status->received)) {
             return true;
         }
-        if (received < group.newest_acknowledged) {
+        if (!group.record.history.covers(received, group.newest_acknowledged)) {
             return false;
         }
         if (group.all_released) {
@@ -1011,10 +1013,31 @@
                std::all_of(servers_.begin(), servers_.end(), [&](const auto& it) {
                    const auto& other = it.second;
                    return other.entry.group != id || other.entry.id == group.record.primary ||
-                          (is_fresh(group, other) && other.status->received <= received);
+                          (is_fresh(group, other) &&
+                           group.record.history.covers(received, other.status->received));
                });
     }
 
+    /// What a choice of the successor depends on, for the log.
+    [[nodiscard]] auto describe_logs(time_point now, const group_id& id, const coordinated_group& group) const
+        -> std::string {
+        auto text = fmt::format("acknowledged={}.{} released={} history=[{}] logs=[",
+                                group.newest_acknowledged.term, group.newest_acknowledged.log,
+                                group.all_released ? "all" : "not-all", to_text(group.record.history));
+        for (const auto& [name, it] : servers_) {
+            if (it.entry.group != id) {
+                continue;
+            }
+            const auto received = it.status ? it.status->received : position{};
+            text += fmt::format("{}{}={}", text.ends_with('[') ? "" : " ", name.value,
+                                it.status ? fmt::format("{}.{}", received.term, received.log) : "unknown");
+            text += it.status && !group.record.history.contains(received) ? ":parted" : "";
+            text += it.entry.state == server_state::draining ? ":draining" : "";
+            text += is_fresh(group, it) ? "" : fmt::format(":{}ms-old", (now - it.status_asked_at) / 1ms);
+        }
+        return text + "]";
+    }
+
     /// The most advanced of the servers in this state that may become the primary. A server that leads
     /// already goes first.
     [[nodiscard]] auto best_successor(time_point now, const group_id& id, const coordinated_group& group,
@@ -1107,9 +1130,9 @@
             group.all_released || (now >= registrations_complete_at_ && have_all_released(id, group));
         const auto* best = choose_successor(now, id, group);
         if (best == nullptr && may_keep_primary(group)) {
-            write_group(now, id, group,
-                        {group.record.primary, group.record.term, group.record.generation, false, {}},
-                        change_phase::writing_result);
+            auto next = group.record;
+            next.changing = false;
+            write_group(now, id, group, next, change_phase::writing_result);
             return;
         }
         if (best == nullptr) {
@@ -1119,13 +1142,16 @@
             }
             if (waited > catch_up_timeout && !std::exchange(group.is_waiting_logged, true)) {
                 emit(log_event::change_waiting, id.value,
-                     fmt::format("generation={} no server is known to have all acknowledged writes",
-                                 group.record.generation));
+                     fmt::format("generation={} no server is known to have all acknowledged writes: {}",
+                                 group.record.generation, describe_logs(now, id, group)));
             }
             return;
         }
         group.candidate = best->entry.id;
         group.candidate_chosen_here = true;
+        emit(log_event::change_chosen, id.value,
+             fmt::format("generation={} server={} {}", group.record.generation, group.candidate.value,
+                         describe_logs(now, id, group)));
         auto next = group.record;
         next.candidate = group.candidate;
         write_group(now, id, group, next, change_phase::writing_candidate);
@@ -1145,12 +1171,14 @@
         if (server != nullptr && server->status && server->status->is_primary &&
             server->status->term > group.record.term) {
             group.old_primary = group.record.primary;
-            // Later writes of earlier terms were rolled back.
-            group.log_at_change = server->status->received;
-            group.newest_acknowledged = std::min(group.newest_acknowledged, *group.log_at_change);
-            write_group(now, id, group,
-                        {group.candidate, server->status->term, group.record.generation, false, {}},
-                        change_phase::writing_result);
+            auto next = group.record;
+            next.primary = group.candidate;
+            next.term = server->status->term;
+            next.changing = false;
+            next.candidate = {};
+            // No instance has a permission to use it yet, so its log has no entry of its term.
+            next.history.begin_term(next.term, server->status->received.log);
+            write_group(now, id, group, next, change_phase::writing_result);
             return;
         }
         if (server == nullptr ||
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -173,6 +173,7 @@
   generation @3 :UInt64;
   changing @4 :Bool;
   candidate @5 :Text;
+  history @6 :List(Position); # where each term begins
 }
 
 # Tokens of a cold server: wanted in a report, granted in an answer.
@@ -218,6 +219,7 @@
   hasSample @5 :Bool;
   sample @6 :Position;
   sampleAgeUs @7 :Int64;
+  history @8 :List(Position); # where each term begins
 }
 
 struct ReportAnswer {
--- a/src/peer/peer.capnp.h
+++ b/src/peer/peer.capnp.h
@@ -356,7 +356,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ad37465199d1f1b6, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ad37465199d1f1b6, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -416,7 +416,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d607e7ee910a54ad, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d607e7ee910a54ad, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2929,6 +2929,9 @@
   inline bool hasCandidate() const;
   inline  ::capnp::Text::Reader getCandidate() const;
 
+  inline bool hasHistory() const;
+  inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Reader getHistory() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2987,6 +2990,13 @@
   inline void adoptCandidate(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownCandidate();
 
+  inline bool hasHistory();
+  inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Builder getHistory();
+  inline void setHistory( ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Builder initHistory(unsigned int size);
+  inline void adoptHistory(::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>> disownHistory();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3412,6 +3422,9 @@
 
   inline  ::int64_t getSampleAgeUs() const;
 
+  inline bool hasHistory() const;
+  inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Reader getHistory() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3476,6 +3489,13 @@
   inline  ::int64_t getSampleAgeUs();
   inline void setSampleAgeUs( ::int64_t value);
 
+  inline bool hasHistory();
+  inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Builder getHistory();
+  inline void setHistory( ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Builder initHistory(unsigned int size);
+  inline void adoptHistory(::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>> disownHistory();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8935,6 +8955,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool KnownRecord::Reader::hasHistory() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool KnownRecord::Builder::hasHistory() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Reader KnownRecord::Reader::getHistory() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Builder KnownRecord::Builder::getHistory() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void KnownRecord::Builder::setHistory( ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Builder KnownRecord::Builder::initHistory(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void KnownRecord::Builder::adoptHistory(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>> KnownRecord::Builder::disownHistory() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool ColdTokens::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9574,6 +9628,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GroupWord::Reader::hasHistory() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupWord::Builder::hasHistory() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Reader GroupWord::Reader::getHistory() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Builder GroupWord::Builder::getHistory() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void GroupWord::Builder::setHistory( ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Builder GroupWord::Builder::initHistory(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void GroupWord::Builder::adoptHistory(
+    ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>> GroupWord::Builder::disownHistory() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool ReportAnswer::Reader::getHoldsDuty() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/peer/peer_report_codec.cpp
+++ b/src/peer/peer_report_codec.cpp
@@ -55,6 +55,24 @@
     return found;
 }
 
+/// `to` is a message with a list `history`.
+template <class Builder>
+auto encode_history(const log_history& history, Builder to) -> void {
+    const auto& terms = history.terms();
+    auto list = to.initHistory(size_of(terms.size()));
+    for (auto n = 0U; n < list.size(); ++n) {
+        encode(position{terms[n].term, terms[n].start}, list[n]);
+    }
+}
+
+auto decode_history(capnp::List<wire::Position>::Reader from) -> log_history {
+    auto history = log_history{};
+    for (const auto it : from) {
+        history.begin_term(it.getTerm(), it.getLog());
+    }
+    return history;
+}
+
 } // namespace
 
 auto encode(const instance_report& report, wire::InstanceReport::Builder to) -> void {
@@ -83,6 +101,7 @@
         records[n].setGeneration(record.generation);
         records[n].setChanging(record.changing);
         records[n].setCandidate(record.candidate.value);
+        encode_history(record.history, records[n]);
     }
     auto groups = to.initGroups(size_of(report.groups.size()));
     for (auto n = 0U; n < groups.size(); ++n) {
@@ -131,7 +150,7 @@
         report.known_records.push_back(
             {group_id{std::string{it.getGroup()}},
              {server_id{std::string{it.getPrimary()}}, it.getTerm(), it.getGeneration(), it.getChanging(),
-              server_id{std::string{it.getCandidate()}}}});
+              server_id{std::string{it.getCandidate()}}, 0, decode_history(it.getHistory())}});
     }
     for (const auto it : from.getGroups()) {
         auto group = group_report{};
@@ -197,6 +216,7 @@
         it.setTerm(from.record.term);
         it.setGeneration(from.record.generation);
         it.setChanging(from.record.changing);
+        encode_history(from.record.history, it);
         it.setHasSample(from.sample.has_value());
         encode(from.sample.value_or(position{}), it.initSample());
         it.setSampleAgeUs(from.sample_age.count());
@@ -239,8 +259,13 @@
     for (const auto it : from.getGroups()) {
         auto status = group_status{};
         status.group = group_id{std::string{it.getGroup()}};
-        status.record = {
-            server_id{std::string{it.getPrimary()}}, it.getTerm(), it.getGeneration(), it.getChanging(), {}};
+        status.record = {server_id{std::string{it.getPrimary()}},
+                         it.getTerm(),
+                         it.getGeneration(),
+                         it.getChanging(),
+                         {},
+                         0,
+                         decode_history(it.getHistory())};
         if (it.getHasSample()) {
             status.sample = decode(it.getSample());
         }
