Count a restarted process as a witness only after proof of what it acknowledged

What callers saw: with SyncReplicas 1 an acknowledged write was gone after a change of primary.

Cause: the newest acknowledged position was kept in memory, by that instance and by the coordinator. The report of the new run, which has acknowledged nothing, counted as complete (have_all_released), so has_all_writes left out its check of the replicas. That check took the registered servers for all replicas, although the entry of a server that is down expires, and counted a server without a log. Found by reading on the same path: a coordinator without rules took every group for one that replicates asynchronously.

Why the fix works: an instance that reports its acknowledged writes knows those of its present run. Those of its earlier runs are not newer than any position that the primary stated after the present run was first heard, and one such position is taken into the bound. Without it the replicas must answer, and those that may have confirmed a write now stand in the primary record (confirming), so that the next coordinator waits for a server whose entry has expired. A server is dropped from there once another replica has what the primary had after it was missed.

--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -63,6 +63,8 @@
     server_id candidate;          ///< chosen successor while `changing`
     std::uint64_t era = 0;        ///< of the store when it was written; 0: not stated
     log_history history;          ///< up to `term`; a successor must have a log that belongs to it
+    /// Servers that may have confirmed acknowledged writes, sorted; empty without synchronous replication.
+    std::vector<server_id> confirming;
 
     auto operator==(const primary_record&) const -> bool = default;
 };
--- a/src/libcitronlug/coordination.cpp
+++ b/src/libcitronlug/coordination.cpp
@@ -1,5 +1,6 @@
 #include <citronlug/coordination.h>
 
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 
@@ -91,6 +92,13 @@
     if (!record.history.terms().empty()) {
         object["history"] = to_qstring(to_text(record.history));
     }
+    if (!record.confirming.empty()) {
+        auto servers = QJsonArray{};
+        for (const auto& it : record.confirming) {
+            servers.append(to_qstring(it.value));
+        }
+        object["confirming"] = servers;
+    }
     return to_compact_json(object);
 }
 
@@ -117,13 +125,18 @@
     if (!history) {
         return std::nullopt;
     }
+    auto confirming = std::vector<server_id>{};
+    for (const auto it : (*object)["confirming"].toArray()) {
+        confirming.push_back(server_id{it.toString().toStdString()});
+    }
     return primary_record{server_id{(*object)["primary"].toString().toStdString()},
                           read_uint64(*object, "term"),
                           read_uint64(*object, "generation"),
                           (*object)["changing"].toBool(),
                           server_id{(*object)["candidate"].toString().toStdString()},
                           read_uint64(*object, "era"),
-                          *history};
+                          *history,
+                          std::move(confirming)};
 }
 
 auto primary_record_name(const group_id& group) -> std::string {
--- a/src/libcitronlug/coordinator_test_fixture.h
+++ b/src/libcitronlug/coordinator_test_fixture.h
@@ -65,6 +65,9 @@
     bool lose_write_answers = false;
     bool instances_release = true; ///< instances report that they have released their permissions
     position acknowledged{1, 100};
+    std::map<instance_id, std::optional<position>> acknowledged_by; ///< instead of `acknowledged`
+    std::map<instance_id, incarnation> runs;                        ///< of restarted instances
+    std::set<instance_id> silent;                                   ///< instances that do not report
 
     void setup() override {
         server_states[server_id{"s1"}] = {true, true, 1, 105};
@@ -74,11 +77,19 @@
         add("b", 2);
     }
 
+    /// A coordinator that has no rules yet.
+    auto make_coordinator(const std::string& name, incarnation run, double processor_share = 1)
+        -> std::unique_ptr<primary_coordinator> {
+        auto made = std::make_unique<primary_coordinator>(instance_id{name}, run, "addr-" + name, "secret",
+                                                          lease_acquisition_delay(processor_share),
+                                                          [](const coordinator_event&) {});
+        made->set_servers(now, registered_servers);
+        return made;
+    }
+
     auto add(const std::string& name, incarnation run, double processor_share = 1) -> void {
-        coordinators[name] = std::make_unique<primary_coordinator>(
-            instance_id{name}, run, "addr-" + name, "secret", lease_acquisition_delay(processor_share),
-            [](const coordinator_event&) {});
-        coordinators[name]->set_servers(now, registered_servers);
+        coordinators[name] = make_coordinator(name, run, processor_share);
+        coordinators[name]->set_groups({{group, server_group{}}});
         running[name] = true;
     }
 
@@ -176,13 +187,24 @@
     auto report_all() -> void {
         for (auto& [name, node] : coordinators) {
             for (const auto& instance : registered) {
-                auto report = instance_report{
-                    instance, instance.value == "a" ? 1U : 2U, "addr-" + instance.value, false, {}, {}};
+                if (silent.contains(instance)) {
+                    continue;
+                }
+                const auto own = runs.find(instance);
+                auto report = instance_report{instance,
+                                              own != runs.end()       ? own->second
+                                              : instance.value == "a" ? 1U
+                                                                      : 2U,
+                                              "addr-" + instance.value,
+                                              false,
+                                              {},
+                                              {}};
                 if (const auto record = node->record_of(group)) {
                     auto it = group_report{};
                     it.group = group;
                     it.released_generation = instances_release ? record->generation : 1;
-                    it.acknowledged = acknowledged;
+                    const auto by = acknowledged_by.find(instance);
+                    it.acknowledged = by != acknowledged_by.end() ? by->second : acknowledged;
                     report.groups.push_back(it);
                 }
                 node->on_report(now, report);
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -1,5 +1,6 @@
 #include <citronlug/primary_coordinator.h>
 
+#include <citronlug/acknowledged_writes.h>
 #include <citronlug/log_events.h>
 #include <citronlug/store_history.h>
 
@@ -59,6 +60,8 @@
 /// Minimum time between two changes of primary in a group, unless the primary is draining.
 constexpr auto change_cooldown = duration{3s};
 constexpr auto list_retry_interval = duration{300ms};
+/// Minimum time between a write of a group's record and one that only changes its confirming servers.
+constexpr auto confirming_write_interval = duration{500ms};
 /// After the store came back older, its list of instances may lack some for this time: they register within
 /// `registration_spread`, and what they were permitted before lapses in `permission_lifetime`; the rest
 /// covers drift and failed writes.
@@ -74,7 +77,8 @@
     writing_candidate,
     promoting,
     writing_result,
-    writing_restored ///< over a restored or missing record
+    writing_restored, ///< over a restored or missing record
+    writing_confirming_servers
 };
 
 struct tracked_server {
@@ -100,9 +104,12 @@
     time_point phase_since;
     time_point permissions_end;
     std::optional<std::set<instance_id>> awaited_instances;
-    bool all_released = false;    ///< all instances have reported that they released their permissions
-    position newest_acknowledged; ///< newest acknowledged write of any report, also one that was rolled back
-    time_point draining_since;    ///< when the primary was first seen draining; zero if it is not
+    acknowledged_writes acknowledged;
+    /// Instances whose reports state all that they acknowledged before the change under way.
+    std::set<instance_id> witnesses;
+    bool knows_acknowledged = false;     ///< from the reports of all instances
+    time_point confirming_missing_since; ///< a confirming server is not registered; zero if all are
+    time_point draining_since;           ///< when the primary was first seen draining; zero if it is not
     bool is_waiting_logged = false;
     time_point list_requested_at;
     std::set<server_id> excluded;
@@ -413,6 +420,7 @@
                              group.record.primary.value, group.record.term, to_text(group.record.history)));
             break;
         case change_phase::writing_restored:
+        case change_phase::writing_confirming_servers:
             group.phase = change_phase::steady;
             break;
         default:
@@ -450,8 +458,12 @@
         server.status = result.status;
         server.status_asked_at = asked_at;
         auto& group = groups_[server.entry.group];
-        if (group.record.primary == id && !group.record.changing && result.status->is_primary &&
-            result.status->term == group.record.term && asked_at >= group.sample_asked_at) {
+        if (group.record.primary != id || !result.status->is_primary ||
+            result.status->term != group.record.term) {
+            return;
+        }
+        group.acknowledged.on_primary_position(asked_at, result.status->received, runs_);
+        if (!group.record.changing && asked_at >= group.sample_asked_at) {
             group.sample = result.status->received;
             group.sample_asked_at = asked_at;
         }
@@ -478,7 +490,9 @@
     std::map<group_id, coordinated_group> groups_;
     std::map<server_id, tracked_server> servers_;
     std::map<group_id, std::uint32_t> synchronous_replicas_;
+    bool knows_groups_ = false; ///< `synchronous_replicas_` is as in the rules
     std::map<instance_id, std::pair<time_point, instance_report>> reports_;
+    instance_runs runs_;
     std::set<instance_id> registered_;
     time_point lease_confirmed_at_ = time_point{} - 1h; ///< when the record was last read
     time_point primaries_confirmed_at_ = time_point{} - 1h;
@@ -507,6 +521,7 @@
 
     auto on_report(time_point now, const instance_report& report) -> void {
         reports_.insert_or_assign(report.instance, std::pair{now, report});
+        runs_.on_report(now, report.instance, report.run);
         on_token_seen(now, report.highest_fencing_token);
         if (is_collecting(now)) {
             on_known_records(report.known_records);
@@ -518,7 +533,7 @@
                 continue;
             }
             auto& group = known->second;
-            group.newest_acknowledged = std::max(group.newest_acknowledged, *it.acknowledged);
+            group.acknowledged.on_reported(*it.acknowledged);
         }
     }
 
@@ -800,6 +815,9 @@
             record_initial_primary(now, id, group);
             return;
         }
+        if (!knows_groups_) {
+            return; // how the group replicates decides which server may succeed
+        }
         if (group.phase == change_phase::steady) {
             tick_steady(now, id, group);
             return;
@@ -848,6 +866,10 @@
             return;
         }
         const auto generation = era_ > 1 ? restored_number_step : 1;
+        if (era_ <=
+            1) { // otherwise an instance may have used the group under a record that the store has lost
+            group.acknowledged.begin_term(now);
+        }
         group.reason = "the failure domain of the leading server is evacuated";
         if (leader != nullptr) {
             const auto evacuated = evacuations_.is_evacuated(leader->entry);
@@ -855,6 +877,7 @@
                 primary_record{leader->entry.id, leader->status->term, generation, evacuated, {}, era_};
             // Its term began here or before, so nothing beyond this belongs to an earlier term.
             first.history.begin_term(leader->status->term, leader->status->received.log);
+            first.confirming = confirming_servers(now, id, group);
             write_group(now, id, group, first,
                         evacuated ? change_phase::writing_intent : change_phase::writing_result);
         } else if (evacuated_leader != nullptr) {
@@ -889,6 +912,9 @@
                 actions_.emplace_back(order_step_down{group.old_primary, group.record.term});
             }
         }
+        if (!suspect && update_confirming_servers(now, id, group)) {
+            return;
+        }
         const auto reason = reason_to_change(now, id, group);
         if (suspect || !reason.empty()) {
             probe_others(now, id, group, suspect_probe_interval);
@@ -922,12 +948,61 @@
         write_group(now, id, group, next, change_phase::writing_intent);
     }
 
+    /// Confirming servers of the group as they should be recorded.
+    [[nodiscard]] auto confirming_servers(time_point now, const group_id& id, coordinated_group& group)
+        -> std::vector<server_id> {
+        if (!is_synchronous(id)) {
+            return {};
+        }
+        auto registered = std::set<server_id>{};
+        for (const auto& [name, it] : servers_) {
+            if (it.entry.group == id) {
+                registered.insert(name);
+            }
+        }
+        const auto& recorded = group.record.confirming;
+        if (std::includes(registered.begin(), registered.end(), recorded.begin(), recorded.end())) {
+            group.confirming_missing_since = {};
+        } else if (group.confirming_missing_since == time_point{}) {
+            group.confirming_missing_since = now;
+        }
+        // A replica that has what the primary had since replaces those that are gone.
+        const auto is_replaced =
+            group.confirming_missing_since != time_point{} && group.sample &&
+            group.sample_asked_at >= group.confirming_missing_since &&
+            std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+                const auto& server = it.second;
+                return server.entry.group == id && it.first != group.record.primary && server.status &&
+                       server.status_asked_at >= group.sample_asked_at &&
+                       group.record.history.covers(server.status->received, *group.sample);
+            });
+        return next_confirming_servers(recorded, registered, is_replaced);
+    }
+
+    /// True if the record has to be written again.
+    [[nodiscard]] auto update_confirming_servers(time_point now, const group_id& id, coordinated_group& group)
+        -> bool {
+        auto next = group.record;
+        next.confirming = confirming_servers(now, id, group);
+        if (group.confirming_missing_since != time_point{}) {
+            probe_others(now, id, group, steady_probe_interval);
+        }
+        if (next.confirming == group.record.confirming ||
+            now - group.written_at < confirming_write_interval) {
+            return false;
+        }
+        write_group(now, id, group, next, change_phase::writing_confirming_servers);
+        return true;
+    }
+
     auto begin_release(time_point now, coordinated_group& group) -> void {
         group.phase = change_phase::awaiting_release;
         group.phase_since = now;
         group.permissions_end =
             now + std::chrono::duration_cast<duration>(permission_lifetime * (1 + max_clock_drift_fraction));
         group.awaited_instances.reset();
+        group.witnesses.clear();
+        group.knows_acknowledged = false;
         group.excluded.clear();
         group.list_requested_at = {}; // the next tick requests the list
     }
@@ -949,11 +1024,25 @@
                            [&](const auto& name) { return has_released(id, group, name); });
     }
 
+    /// Notes which instances have reported all that they acknowledged. Their runs may end afterwards.
+    auto update_witnesses(time_point now, const group_id& id, coordinated_group& group) -> void {
+        if (!group.awaited_instances || now < registrations_complete_at_) {
+            return;
+        }
+        for (const auto& name : *group.awaited_instances) {
+            if (has_released(id, group, name) && group.acknowledged.covers_earlier_runs(name, runs_)) {
+                group.witnesses.insert(name);
+            }
+        }
+        group.knows_acknowledged = group.witnesses.size() == group.awaited_instances->size();
+    }
+
     auto tick_awaiting_release(time_point now, const group_id& id, coordinated_group& group) -> void {
         if (!group.awaited_instances && now - group.list_requested_at > list_retry_interval) {
             group.list_requested_at = now;
             actions_.emplace_back(list_instances{});
         }
+        update_witnesses(now, id, group);
         const auto all = now >= registrations_complete_at_ && have_all_released(id, group);
         if (!all && now < group.permissions_end) {
             return;
@@ -963,10 +1052,10 @@
             missing += has_released(id, group, name) ? "" : " " + name.value;
         }
         emit(log_event::change_released, id.value,
-             fmt::format("generation={} by={} waited_ms={} missing={}", group.record.generation,
+             fmt::format("generation={} by={} waited_ms={} missing={} witnesses={}", group.record.generation,
                          all ? "answers" : "expiry", (now - group.phase_since) / 1ms,
-                         missing.empty() ? "none" : missing.substr(1)));
-        group.all_released = all;
+                         missing.empty() ? "none" : missing.substr(1),
+                         group.knows_acknowledged ? "all" : std::to_string(group.witnesses.size())));
         group.is_waiting_logged = false;
         group.phase = change_phase::choosing_successor;
         group.phase_since = now;
@@ -987,43 +1076,61 @@
         return server.status && server.status_asked_at >= group.phase_since;
     }
 
+    /// A server without a log, in a group that has one, has started anew under its id. What it confirmed
+    /// before is not in its log any more, so its answer says nothing.
+    [[nodiscard]] static auto has_lost_log(const coordinated_group& group, const tracked_server& server)
+        -> bool {
+        const auto start = group.record.history.newest_start();
+        return server.status->received.log == 0 && start && start->start > 0;
+    }
+
+    /// True if the server has received all that each other replica of the group has, also those that are not
+    /// registered any more.
+    [[nodiscard]] auto is_most_advanced(const group_id& id, const coordinated_group& group,
+                                        const tracked_server& server) const -> bool {
+        const auto is_covered = [&](const tracked_server& other) {
+            return is_fresh(group, other) && !has_lost_log(group, other) &&
+                   group.record.history.covers(server.status->received, other.status->received);
+        };
+        return std::all_of(servers_.begin(), servers_.end(),
+                           [&](const auto& it) {
+                               return it.second.entry.group != id || it.first == group.record.primary ||
+                                      is_covered(it.second);
+                           }) &&
+               std::all_of(group.record.confirming.begin(), group.record.confirming.end(),
+                           [&](const auto& it) { return it == group.record.primary || find(it) != nullptr; });
+    }
+
     /// True if the server is known to have all acknowledged writes, asked after the permissions were
     /// released:
     /// - it has all writes of the old primary, which still answers; or
     /// - it has the newest write that an instance acknowledged, and either all instances have reported
-    /// theirs,
-    ///   or it is the most advanced of all replicas, one of which has each acknowledged write if the group
-    ///   replicates synchronously.
+    ///   theirs, or it is the most advanced of all replicas, one of which has each acknowledged write if the
+    ///   group replicates synchronously.
     [[nodiscard]] auto has_all_writes(const group_id& id, const coordinated_group& group,
                                       const tracked_server& server) const -> bool {
+        const auto& history = group.record.history;
         const auto received = server.status->received;
         const auto* old_primary = find(group.record.primary);
-        if (old_primary != nullptr && is_fresh(group, *old_primary) &&
-            group.record.history.covers(received, old_primary->status->received)) {
+        if (old_primary != nullptr && is_fresh(group, *old_primary) && !has_lost_log(group, *old_primary) &&
+            history.covers(received, old_primary->status->received)) {
             return true;
         }
-        if (!group.record.history.covers(received, group.newest_acknowledged)) {
+        if (!history.covers(received, group.acknowledged.bound())) {
             return false;
         }
-        if (group.all_released) {
-            return true;
-        }
         // An evacuation must not lose a write that only the old primary has.
-        return (is_synchronous(id) || !is_evacuated(group.record.primary)) &&
-               std::all_of(servers_.begin(), servers_.end(), [&](const auto& it) {
-                   const auto& other = it.second;
-                   return other.entry.group != id || other.entry.id == group.record.primary ||
-                          (is_fresh(group, other) &&
-                           group.record.history.covers(received, other.status->received));
-               });
+        return group.knows_acknowledged || ((is_synchronous(id) || !is_evacuated(group.record.primary)) &&
+                                            is_most_advanced(id, group, server));
     }
 
     /// What a choice of the successor depends on, for the log.
     [[nodiscard]] auto describe_logs(time_point now, const group_id& id, const coordinated_group& group) const
         -> std::string {
-        auto text = fmt::format("acknowledged={}.{} released={} history=[{}] logs=[",
-                                group.newest_acknowledged.term, group.newest_acknowledged.log,
-                                group.all_released ? "all" : "not-all", to_text(group.record.history));
+        auto text = fmt::format("acknowledged={}.{} witnesses={} history=[{}] logs=[",
+                                group.acknowledged.bound().term, group.acknowledged.bound().log,
+                                group.knows_acknowledged ? "all" : std::to_string(group.witnesses.size()),
+                                to_text(group.record.history));
         for (const auto& [name, it] : servers_) {
             if (it.entry.group != id) {
                 continue;
@@ -1126,8 +1233,7 @@
             return;
         }
         // An instance that did not report in time may do so while an evacuation waits for it.
-        group.all_released =
-            group.all_released || (now >= registrations_complete_at_ && have_all_released(id, group));
+        update_witnesses(now, id, group);
         const auto* best = choose_successor(now, id, group);
         if (best == nullptr && may_keep_primary(group)) {
             auto next = group.record;
@@ -1178,6 +1284,7 @@
             next.candidate = {};
             // No instance has a permission to use it yet, so its log has no entry of its term.
             next.history.begin_term(next.term, server->status->received.log);
+            group.acknowledged.begin_term(now);
             write_group(now, id, group, next, change_phase::writing_result);
             return;
         }
@@ -1303,6 +1410,7 @@
 }
 
 auto primary_coordinator::set_groups(const std::map<group_id, server_group>& groups) -> void {
+    impl_->knows_groups_ = true;
     impl_->synchronous_replicas_.clear();
     for (const auto& [id, group] : groups) {
         impl_->synchronous_replicas_[id] = group.synchronous_replicas;
--- a/src/libcitronlug/succession/succession_test.cpp
+++ b/src/libcitronlug/succession/succession_test.cpp
@@ -36,7 +36,7 @@
         const auto holder = std::string{coordinators["a"]->is_coordinating(now) ? "a" : "b"};
         running[holder] = false;
         run_for(5s);
-        add(holder, ++runs);
+        add(holder, ++run);
     }
 
     auto crash_first_primary() -> void {
@@ -49,7 +49,7 @@
         run_for(4s);
     }
 
-    incarnation runs = 10;
+    incarnation run = 10;
 };
 
 TEST_GROUP_BASE(parted_log, parted_log_fixture){};
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -174,6 +174,7 @@
   changing @4 :Bool;
   candidate @5 :Text;
   history @6 :List(Position); # where each term begins
+  confirming @7 :List(Text); # servers
 }
 
 # Tokens of a cold server: wanted in a report, granted in an answer.
@@ -220,6 +221,7 @@
   sample @6 :Position;
   sampleAgeUs @7 :Int64;
   history @8 :List(Position); # where each term begins
+  confirming @9 :List(Text); # servers
 }
 
 struct ReportAnswer {
--- a/src/peer/peer.capnp.h
+++ b/src/peer/peer.capnp.h
@@ -356,7 +356,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ad37465199d1f1b6, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(ad37465199d1f1b6, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -416,7 +416,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d607e7ee910a54ad, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d607e7ee910a54ad, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2932,6 +2932,9 @@
   inline bool hasHistory() const;
   inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Reader getHistory() const;
 
+  inline bool hasConfirming() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getConfirming() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2997,6 +3000,14 @@
   inline void adoptHistory(::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>> disownHistory();
 
+  inline bool hasConfirming();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getConfirming();
+  inline void setConfirming( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setConfirming(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initConfirming(unsigned int size);
+  inline void adoptConfirming(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownConfirming();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3425,6 +3436,9 @@
   inline bool hasHistory() const;
   inline  ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>::Reader getHistory() const;
 
+  inline bool hasConfirming() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getConfirming() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3496,6 +3510,14 @@
   inline void adoptHistory(::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::citronlug::wire::Position,  ::capnp::Kind::STRUCT>> disownHistory();
 
+  inline bool hasConfirming();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getConfirming();
+  inline void setConfirming( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setConfirming(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initConfirming(unsigned int size);
+  inline void adoptConfirming(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownConfirming();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8989,6 +9011,44 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool KnownRecord::Reader::hasConfirming() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool KnownRecord::Builder::hasConfirming() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader KnownRecord::Reader::getConfirming() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder KnownRecord::Builder::getConfirming() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void KnownRecord::Builder::setConfirming( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void KnownRecord::Builder::setConfirming(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder KnownRecord::Builder::initConfirming(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void KnownRecord::Builder::adoptConfirming(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> KnownRecord::Builder::disownConfirming() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool ColdTokens::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9662,6 +9722,44 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool GroupWord::Reader::hasConfirming() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupWord::Builder::hasConfirming() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader GroupWord::Reader::getConfirming() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GroupWord::Builder::getConfirming() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void GroupWord::Builder::setConfirming( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void GroupWord::Builder::setConfirming(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GroupWord::Builder::initConfirming(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void GroupWord::Builder::adoptConfirming(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> GroupWord::Builder::disownConfirming() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool ReportAnswer::Reader::getHoldsDuty() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/peer/peer_report_codec.cpp
+++ b/src/peer/peer_report_codec.cpp
@@ -55,22 +55,28 @@
     return found;
 }
 
-/// `to` is a message with a list `history`.
+/// Encodes what a record holds for the choice of a successor. `to` is a message with both lists.
 template <class Builder>
-auto encode_history(const log_history& history, Builder to) -> void {
-    const auto& terms = history.terms();
+auto encode_succession(const primary_record& record, Builder to) -> void {
+    const auto& terms = record.history.terms();
     auto list = to.initHistory(size_of(terms.size()));
     for (auto n = 0U; n < list.size(); ++n) {
         encode(position{terms[n].term, terms[n].start}, list[n]);
     }
+    auto confirming = to.initConfirming(size_of(record.confirming.size()));
+    for (auto n = 0U; n < confirming.size(); ++n) {
+        confirming.set(n, record.confirming[n].value);
+    }
 }
 
-auto decode_history(capnp::List<wire::Position>::Reader from) -> log_history {
-    auto history = log_history{};
-    for (const auto it : from) {
-        history.begin_term(it.getTerm(), it.getLog());
+template <class Reader>
+auto decode_succession(Reader from, primary_record& record) -> void {
+    for (const auto it : from.getHistory()) {
+        record.history.begin_term(it.getTerm(), it.getLog());
+    }
+    for (const auto it : from.getConfirming()) {
+        record.confirming.push_back(server_id{std::string{it}});
     }
-    return history;
 }
 
 } // namespace
@@ -101,7 +107,7 @@
         records[n].setGeneration(record.generation);
         records[n].setChanging(record.changing);
         records[n].setCandidate(record.candidate.value);
-        encode_history(record.history, records[n]);
+        encode_succession(record, records[n]);
     }
     auto groups = to.initGroups(size_of(report.groups.size()));
     for (auto n = 0U; n < groups.size(); ++n) {
@@ -147,10 +153,11 @@
     report.lends_tokens = from.getLendsTokens();
     report.requests_tokens_only = from.getRequestsTokensOnly();
     for (const auto it : from.getKnownRecords()) {
-        report.known_records.push_back(
-            {group_id{std::string{it.getGroup()}},
-             {server_id{std::string{it.getPrimary()}}, it.getTerm(), it.getGeneration(), it.getChanging(),
-              server_id{std::string{it.getCandidate()}}, 0, decode_history(it.getHistory())}});
+        auto known = known_record{group_id{std::string{it.getGroup()}},
+                                  {server_id{std::string{it.getPrimary()}}, it.getTerm(), it.getGeneration(),
+                                   it.getChanging(), server_id{std::string{it.getCandidate()}}}};
+        decode_succession(it, known.record);
+        report.known_records.push_back(std::move(known));
     }
     for (const auto it : from.getGroups()) {
         auto group = group_report{};
@@ -216,7 +223,7 @@
         it.setTerm(from.record.term);
         it.setGeneration(from.record.generation);
         it.setChanging(from.record.changing);
-        encode_history(from.record.history, it);
+        encode_succession(from.record, it);
         it.setHasSample(from.sample.has_value());
         encode(from.sample.value_or(position{}), it.initSample());
         it.setSampleAgeUs(from.sample_age.count());
@@ -259,13 +266,9 @@
     for (const auto it : from.getGroups()) {
         auto status = group_status{};
         status.group = group_id{std::string{it.getGroup()}};
-        status.record = {server_id{std::string{it.getPrimary()}},
-                         it.getTerm(),
-                         it.getGeneration(),
-                         it.getChanging(),
-                         {},
-                         0,
-                         decode_history(it.getHistory())};
+        status.record = {
+            server_id{std::string{it.getPrimary()}}, it.getTerm(), it.getGeneration(), it.getChanging(), {}};
+        decode_succession(it, status.record);
         if (it.getHasSample()) {
             status.sample = decode(it.getSample());
         }
