Keep the old primary if it is back before a successor is found

What callers saw: with synchronous replication, no service while the primary that had all acknowledged writes was back, leading and answering, until another server that had them was back too.

Cause: the primary of the record is never a successor, and only a withdrawn evacuation let a change end with the same primary.

Why the fix works: while the record names no candidate, no server can have been ordered to lead, so a primary that states to lead the term of the record still does, and it has all writes. It is kept only if the other servers were asked and none may succeed it.

--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -1207,11 +1207,12 @@
         return can_catch_up || waited < catch_up_timeout ? nullptr : best;
     }
 
-    /// True if the change was begun for an evacuation that is withdrawn, no successor can have been ordered
-    /// to lead, and the primary still leads.
-    [[nodiscard]] auto may_keep_primary(const coordinated_group& group) const -> bool {
+    /// True if no successor can have been ordered to lead, and the primary leads and answers again or is no
+    /// longer evacuated.
+    [[nodiscard]] auto may_keep_primary(time_point now, const coordinated_group& group) const -> bool {
         const auto* primary = find(group.record.primary);
-        return group.for_evacuation && group.record.candidate.empty() && primary != nullptr &&
+        const auto has_asked_others = group.for_evacuation || now - group.phase_since >= status_wait;
+        return has_asked_others && group.record.candidate.empty() && primary != nullptr &&
                !evacuations_.is_evacuated(primary->entry) && primary->entry.state == server_state::ready &&
                is_fresh(group, *primary) && primary->status->is_primary &&
                primary->status->term == group.record.term;
@@ -1235,7 +1236,7 @@
         // An instance that did not report in time may do so while an evacuation waits for it.
         update_witnesses(now, id, group);
         const auto* best = choose_successor(now, id, group);
-        if (best == nullptr && may_keep_primary(group)) {
+        if (best == nullptr && may_keep_primary(now, group)) {
             auto next = group.record;
             next.changing = false;
             write_group(now, id, group, next, change_phase::writing_result);
--- a/src/libcitronlug/succession/witnesses_test.cpp
+++ b/src/libcitronlug/succession/witnesses_test.cpp
@@ -161,6 +161,28 @@
     CHECK_EQUAL(std::string{"s3"}, record().primary.value);
 }
 
+// Guards against a group that stays without a primary although the old one, which has all writes, is back
+// before any other server that has them.
+TEST(succession_witnesses, primary_that_is_back_first_is_kept) {
+    acknowledge(b);
+    run_for(100ms);
+    crash({s1, s2});
+    run_for(4s);
+    CHECK_TRUE(record().changing);
+    server_states[s1].alive = true;
+    run_for(500ms);
+    CHECK_EQUAL(std::string{"s1"}, record().primary.value);
+    CHECK_FALSE(record().changing);
+    CHECK_EQUAL(0U, orders.size());
+
+    // The next change is made as usual.
+    run_for(4s);
+    server_states[s3].log = 150;
+    crash({s1});
+    run_for(4s);
+    CHECK_EQUAL(std::string{"s3"}, record().primary.value);
+}
+
 // Guards against a server that is counted as a replica without the write, although it lost its log.
 TEST(succession_witnesses, server_that_lost_its_log_is_none) {
     silent = {b};
