Take a list of servers only if it shows a later state of the store

Cause: the store turned the coordinator away. A restarted instance read the newer list from the store; the first answer of the old coordinator made it fetch the older list in its place. Its mirror of the store was not told, so as the next coordinator it found no change when it listed again, and went on with the older list under the version that all others had.

Why the fix works: each list states the era and the revision of the store that it shows (store_mirror:: shown_revision), also in the answer to fetchServers. server_list_order takes only a list that shows a later state, wherever it comes from. An unchanged list keeps its version and one that was read anew gets its own, so a version stands for one list, also across changes of coordinator.

--- a/src/include/citronlug/store_mirror.h
+++ b/src/include/citronlug/store_mirror.h
@@ -90,6 +90,8 @@
     [[nodiscard]] auto records() const -> const std::map<std::string, store_record>& { return records_; }
     /// When the call was made whose answer last confirmed the present records.
     [[nodiscard]] auto confirmed_at() const -> std::optional<time_point> { return confirmed_at_; }
+    /// The records show all changes up to this revision of the store; 0 before the first listing.
+    [[nodiscard]] auto shown_revision() const -> std::uint64_t { return shown_revision_; }
     [[nodiscard]] auto is_available() const -> bool { return failures_ == 0; }
     auto set_watch_wait(duration wait) -> void { watch_wait_ = wait; }
     /// Delay between a listing and the first watch after it, in case the other source answers meanwhile.
@@ -111,6 +113,7 @@
     std::string list_cursor_;
     std::optional<std::uint64_t> revision_; ///< the next watch starts here; empty: a listing is due
     std::uint64_t listing_revision_ = 0;
+    std::uint64_t shown_revision_ = 0;
     std::uint64_t call_number_ = 0;
     bool call_pending_ = false;
     bool paused_ = false;
--- a/src/libcitronlug/store_mirror.cpp
+++ b/src/libcitronlug/store_mirror.cpp
@@ -101,6 +101,7 @@
         // A change that cannot be read must not be reported by each further watch.
         if (!changes.empty() || answer.unreadable_records > 0) {
             revision_ = std::max(*revision_, answer.revision);
+            shown_revision_ = *revision_;
         }
         confirmed_at_ = asked_at_;
         return changes;
@@ -133,6 +134,7 @@
     listing_.clear();
     not_before_ = now + first_watch_delay_;
     revision_ = listing_revision_;
+    shown_revision_ = listing_revision_;
     confirmed_at_ = listing_asked_at_;
     return changes;
 }
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -273,5 +273,6 @@
   # Notifies an instance that has not reported to the coordinator of its address.
   announce @10 (holder :Text, run :UInt64, token :UInt64, address :Text);
   # The coordinator's list of registered backend servers, as a JSON object: name to record.
-  fetchServers @11 () -> (version :UInt64, text :Text);
+  # era and revision: the state of the store that the list shows.
+  fetchServers @11 () -> (version :UInt64, text :Text, era :UInt64, revision :UInt64);
 }
--- a/src/peer/peer.capnp.h
+++ b/src/peer/peer.capnp.h
@@ -913,7 +913,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(883a3a2f5e8b216f, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(883a3a2f5e8b216f, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -6196,6 +6196,10 @@
   inline bool hasText() const;
   inline  ::capnp::Text::Reader getText() const;
 
+  inline  ::uint64_t getEra() const;
+
+  inline  ::uint64_t getRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6234,6 +6238,12 @@
   inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownText();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -11339,6 +11349,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Peer::FetchServersResults::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::FetchServersResults::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FetchServersResults::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::FetchServersResults::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::FetchServersResults::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FetchServersResults::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/peer/peer_rpc.cpp
+++ b/src/peer/peer_rpc.cpp
@@ -517,7 +517,7 @@
         address, clock_now() + 300ms,
         [](wire::Peer::Client& peer) { return peer.fetchServersRequest().send(); },
         [done](auto& it) {
-            done(config_reply{it.getVersion(), std::string{it.getText()}});
+            done(config_reply{it.getVersion(), std::string{it.getText()}, {it.getEra(), it.getRevision()}});
         },
         [done] { done(std::nullopt); });
 }
--- a/src/peer/peer_rpc.h
+++ b/src/peer/peer_rpc.h
@@ -3,6 +3,7 @@
 #include <citronlug/cell_node.h>
 #include <citronlug/coordination.h>
 #include <citronlug/request.h>
+#include <citronlug/server_list_order.h>
 #include <citronlug/timeline.h>
 
 #include <cstdint>
@@ -24,6 +25,7 @@
 struct config_reply {
     std::uint64_t version = 0; ///< 0: the peer has no newer version
     std::string text;
+    list_basis basis{}; ///< of a list of servers
 };
 
 /// Whether a failed call may have had an effect.
--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -138,6 +138,8 @@
         auto results = context.getResults();
         results.setVersion(reply.version);
         results.setText(reply.text);
+        results.setEra(reply.basis.era);
+        results.setRevision(reply.basis.revision);
         return kj::READY_NOW;
     }
 
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -185,10 +185,13 @@
         }
         break;
     case record_kind::servers:
-        if (answer.outcome == store_outcome::ok && it.mirror.confirmed_at() &&
-            (!changes.empty() || !servers_listed_)) {
+        if (const auto basis = list_basis{store_.era(), it.mirror.shown_revision()};
+            answer.outcome == store_outcome::ok && it.mirror.confirmed_at() &&
+            (!changes.empty() || !servers_listed_ || servers_order_.present() < basis)) {
             servers_listed_ = true;
-            replace_servers(now, it.mirror.records());
+            if (servers_order_.accept(basis)) {
+                replace_servers(now, it.mirror.records());
+            }
         }
         break;
     case record_kind::primaries:
@@ -329,8 +332,8 @@
         {{"kind", std::string{name_of(kind)}}, {"name", record.name}, {"why", reason}});
 }
 
-auto session_daemon::replace_servers(time_point now, const std::map<std::string, store_record>& records)
-    -> void {
+auto session_daemon::replace_servers(time_point now, const std::map<std::string, store_record>& records,
+                                     std::uint64_t fetched_version) -> void {
     auto next = std::map<server_id, backend_server>{};
     auto text = QJsonObject{};
     std::erase_if(rejected_records_, [&](const auto& it) {
@@ -347,22 +350,30 @@
         departed_servers_.erase(server.id);
         next.emplace(server.id, std::move(server));
     }
+    const auto is_changed = next != registered_servers_;
+    if (fetched_version != 0) {
+        servers_version_ = fetched_version;
+    } else if (is_changed || servers_version_ == 0) {
+        // A random version is unique to each list, even across changes of coordinator.
+        servers_version_ = random_number();
+    }
+    fleet_.set_servers({servers_version_, QJsonDocument{text}.toJson(QJsonDocument::Compact).toStdString(),
+                        servers_order_.present()});
+    if (!is_changed) {
+        return;
+    }
     for (const auto& [id, it] : registered_servers_) {
         if (!next.contains(id)) {
             departed_servers_.try_emplace(id, departed_server{it, now});
         }
     }
     registered_servers_ = std::move(next);
-    if (is_coordinating_ || !coordinator_reachable_) {
-        // A random version is unique to each list, even across changes of coordinator.
-        servers_version_ = random_number();
-    }
-    fleet_.set_servers({servers_version_, QJsonDocument{text}.toJson(QJsonDocument::Compact).toStdString()});
     apply_servers(now);
 }
 
 auto session_daemon::fetch_newer_servers(std::uint64_t version, const std::string& address) -> void {
-    if (fetching_servers_ || version == servers_version_ || version == 0) {
+    if (fetching_servers_ || version == servers_version_ || version == 0 ||
+        servers_order_.was_refused(version)) {
         return;
     }
     fetching_servers_ = true;
@@ -378,14 +389,21 @@
                  {"why", "the coordinator's list of servers is not a JSON object"}});
             return;
         }
-        servers_version_ = servers.version;
+        if (!servers_order_.accept_fetched(servers.version, servers.basis)) {
+            metrics_.count("citronlug_older_server_lists_total");
+            log(log_level::info, log_event::servers_changed,
+                {{"why",
+                  fmt::format("the coordinator's list of revision {} is older than that of revision {}",
+                              servers.basis.revision, servers_order_.present().revision)}});
+            return;
+        }
         auto records = std::map<std::string, store_record>{};
         const auto object = document.object();
         for (auto it = object.begin(); it != object.end(); ++it) {
             auto name = it.key().toStdString();
             records[name] = {name, it.value().toString().toStdString(), 0};
         }
-        replace_servers(clock_now(), records);
+        replace_servers(clock_now(), records, servers.version);
     });
 }
 
--- a/src/sessiond/fleet_link.cpp
+++ b/src/sessiond/fleet_link.cpp
@@ -30,7 +30,7 @@
     };
     services.fetch_servers = [this] {
         const auto lock = std::lock_guard{mutex_};
-        return config_reply{servers_.version, servers_.value};
+        return config_reply{servers_.version, servers_.value, servers_.basis};
     };
     rpc_ = std::make_unique<peer_rpc>(self_, secret, std::move(services));
     rpc_->listen(own_address_);
@@ -86,7 +86,7 @@
         return;
     }
     rpc_->fetch_servers(address, [this, done = std::move(done)](const std::optional<config_reply>& reply) {
-        auto found = reply ? record_text{reply->version, reply->text} : record_text{};
+        auto found = reply ? record_text{reply->version, reply->text, reply->basis} : record_text{};
         tasks_.post([done, found = std::move(found)] { done(found); });
     });
 }
--- a/src/sessiond/fleet_link.h
+++ b/src/sessiond/fleet_link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <citronlug/coordination.h>
+#include <citronlug/server_list_order.h>
 
 #include "event_thread.h"
 #include "peer_rpc.h"
@@ -23,6 +24,7 @@
     struct record_text {
         std::uint64_t version = 0; ///< 0: none
         std::string value;
+        list_basis basis{}; ///< of servers
     };
     struct handlers {
         report_handler report;
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -13,6 +13,7 @@
 #include <citronlug/evacuation.h>
 #include <citronlug/primary_coordinator.h>
 #include <citronlug/report_exchange.h>
+#include <citronlug/server_list_order.h>
 #include <citronlug/session_proxy.h>
 #include <citronlug/session_settings.h>
 #include <citronlug/store_mirror.h>
@@ -104,7 +105,9 @@
     auto apply_rules(time_point now, const std::string& value) -> void;
     /// Replaces the registered servers by those that `records` describes. Records that describe none are
     /// logged once and not passed on to other instances.
-    auto replace_servers(time_point now, const std::map<std::string, store_record>& records) -> void;
+    /// `fetched_version`: of the coordinator's list; 0: the records were read from the store.
+    auto replace_servers(time_point now, const std::map<std::string, store_record>& records,
+                         std::uint64_t fetched_version = 0) -> void;
     /// Logs why a record is not used, once for each revision of it.
     auto log_rejected(record_kind kind, const store_record& record, const std::string& reason) -> void;
     auto apply_servers(time_point now) -> void;
@@ -201,6 +204,7 @@
     std::map<std::pair<record_kind, std::string>, std::uint64_t> rejected_records_; ///< revision by name
     /// Version of the coordinator's list of servers; while this instance coordinates, of its own list.
     std::uint64_t servers_version_ = 0;
+    server_list_order servers_order_;
     bool fetching_servers_ = false;
 
     bool registered_ = false;
