Decide on confirming servers apart from the coordinator, and seldom

The list of confirming servers was computed on each tick of each group with synchronous replication, over all servers. It is now checked every 500 ms, and not at all for other groups.

confirming_servers holds the decision. It also mends two faults of the first version, found while it was moved: a second server that was missed later was dropped by the proof for the first one, and the proof asked for a replica's position that was newer than the primary's newest, so that it depended on the order of the probes. Now the position of the primary counts that was stated after the last of them was missed.

--- a/src/include/citronlug/acknowledged_writes.h
+++ b/src/include/citronlug/acknowledged_writes.h
@@ -5,8 +5,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
-#include <vector>
 
 namespace citronlug {
 
@@ -54,14 +52,4 @@
     std::optional<time_point> covered_until_; ///< `bound_` covers what was acknowledged before
 };
 
-/// Servers that may have confirmed acknowledged writes of a group that replicates synchronously. They stand
-/// in the primary record, because the entry of a server that is down expires, and a later coordinator would
-/// not know that it has to be asked.
-///
-/// `recorded`: as in the record. `registered`: all registered servers of the group. `is_replaced`: another
-/// recorded server has everything that a server which is no longer registered can have confirmed.
-[[nodiscard]] auto next_confirming_servers(const std::vector<server_id>& recorded,
-                                           const std::set<server_id>& registered, bool is_replaced)
-    -> std::vector<server_id>;
-
 } // namespace citronlug
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -1,6 +1,7 @@
 #include <citronlug/primary_coordinator.h>
 
 #include <citronlug/acknowledged_writes.h>
+#include <citronlug/confirming_servers.h>
 #include <citronlug/log_events.h>
 #include <citronlug/store_history.h>
 
@@ -60,8 +61,8 @@
 /// Minimum time between two changes of primary in a group, unless the primary is draining.
 constexpr auto change_cooldown = duration{3s};
 constexpr auto list_retry_interval = duration{300ms};
-/// Minimum time between a write of a group's record and one that only changes its confirming servers.
-constexpr auto confirming_write_interval = duration{500ms};
+/// Interval of checks whether the confirming servers in a group's record are still right.
+constexpr auto confirming_check_interval = duration{500ms};
 /// After the store came back older, its list of instances may lack some for this time: they register within
 /// `registration_spread`, and what they were permitted before lapses in `permission_lifetime`; the rest
 /// covers drift and failed writes.
@@ -107,9 +108,10 @@
     acknowledged_writes acknowledged;
     /// Instances whose reports state all that they acknowledged before the change under way.
     std::set<instance_id> witnesses;
-    bool knows_acknowledged = false;     ///< from the reports of all instances
-    time_point confirming_missing_since; ///< a confirming server is not registered; zero if all are
-    time_point draining_since;           ///< when the primary was first seen draining; zero if it is not
+    bool knows_acknowledged = false; ///< from the reports of all instances
+    confirming_servers confirming;
+    time_point confirming_checked_at;
+    time_point draining_since; ///< when the primary was first seen draining; zero if it is not
     bool is_waiting_logged = false;
     time_point list_requested_at;
     std::set<server_id> excluded;
@@ -877,7 +879,7 @@
                 primary_record{leader->entry.id, leader->status->term, generation, evacuated, {}, era_};
             // Its term began here or before, so nothing beyond this belongs to an earlier term.
             first.history.begin_term(leader->status->term, leader->status->received.log);
-            first.confirming = confirming_servers(now, id, group);
+            first.confirming = next_confirming_servers(now, id, group);
             write_group(now, id, group, first,
                         evacuated ? change_phase::writing_intent : change_phase::writing_result);
         } else if (evacuated_leader != nullptr) {
@@ -949,46 +951,45 @@
     }
 
     /// Confirming servers of the group as they should be recorded.
-    [[nodiscard]] auto confirming_servers(time_point now, const group_id& id, coordinated_group& group)
+    [[nodiscard]] auto next_confirming_servers(time_point now, const group_id& id, coordinated_group& group)
         -> std::vector<server_id> {
         if (!is_synchronous(id)) {
             return {};
         }
         auto registered = std::set<server_id>{};
+        auto replicas = std::vector<position>{};
         for (const auto& [name, it] : servers_) {
-            if (it.entry.group == id) {
-                registered.insert(name);
+            if (it.entry.group != id) {
+                continue;
+            }
+            registered.insert(name);
+            if (name != group.record.primary && it.status) {
+                replicas.push_back(it.status->received);
             }
         }
-        const auto& recorded = group.record.confirming;
-        if (std::includes(registered.begin(), registered.end(), recorded.begin(), recorded.end())) {
-            group.confirming_missing_since = {};
-        } else if (group.confirming_missing_since == time_point{}) {
-            group.confirming_missing_since = now;
-        }
-        // A replica that has what the primary had since replaces those that are gone.
-        const auto is_replaced =
-            group.confirming_missing_since != time_point{} && group.sample &&
-            group.sample_asked_at >= group.confirming_missing_since &&
-            std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
-                const auto& server = it.second;
-                return server.entry.group == id && it.first != group.record.primary && server.status &&
-                       server.status_asked_at >= group.sample_asked_at &&
-                       group.record.history.covers(server.status->received, *group.sample);
-            });
-        return next_confirming_servers(recorded, registered, is_replaced);
+        auto primary = std::optional<confirming_servers::primary_position>{};
+        if (group.sample) {
+            primary = {group.sample_asked_at, *group.sample};
+        }
+        return group.confirming.next(now, group.record, registered, primary, replicas);
     }
 
     /// True if the record has to be written again.
     [[nodiscard]] auto update_confirming_servers(time_point now, const group_id& id, coordinated_group& group)
         -> bool {
-        auto next = group.record;
-        next.confirming = confirming_servers(now, id, group);
-        if (group.confirming_missing_since != time_point{}) {
+        if (!is_synchronous(id) && group.record.confirming.empty()) {
+            return false;
+        }
+        if (group.confirming.has_missing()) {
             probe_others(now, id, group, steady_probe_interval);
         }
-        if (next.confirming == group.record.confirming ||
-            now - group.written_at < confirming_write_interval) {
+        if (now - std::max(group.written_at, group.confirming_checked_at) < confirming_check_interval) {
+            return false;
+        }
+        group.confirming_checked_at = now;
+        auto next = group.record;
+        next.confirming = next_confirming_servers(now, id, group);
+        if (next.confirming == group.record.confirming) {
             return false;
         }
         write_group(now, id, group, next, change_phase::writing_confirming_servers);
--- a/src/libcitronlug/succession/acknowledged_writes.cpp
+++ b/src/libcitronlug/succession/acknowledged_writes.cpp
@@ -40,13 +40,4 @@
     return since && covered_until_ && *covered_until_ >= *since;
 }
 
-auto next_confirming_servers(const std::vector<server_id>& recorded, const std::set<server_id>& registered,
-                             bool is_replaced) -> std::vector<server_id> {
-    auto next = registered;
-    if (!is_replaced) {
-        next.insert(recorded.begin(), recorded.end());
-    }
-    return {next.begin(), next.end()};
-}
-
 } // namespace citronlug
--- a/src/libcitronlug/succession/witnesses_test.cpp
+++ b/src/libcitronlug/succession/witnesses_test.cpp
@@ -1,6 +1,7 @@
 #include "../coordinator_test_fixture.h"
 
 #include <citronlug/acknowledged_writes.h>
+#include <citronlug/confirming_servers.h>
 
 using namespace citronlug;
 
@@ -245,10 +246,32 @@
     writes.on_primary_position(time_point{11s}, {1, 20}, runs);
     writes.on_primary_position(time_point{12s}, {1, 30}, runs);
     CHECK_TRUE(writes.covers_earlier_runs(a, runs));
-    CHECK(position(1, 20) == writes.bound());
+    CHECK_TRUE((writes.bound() == position{1, 20}));
     runs.on_report(time_point{13s}, a, 2);
     CHECK_FALSE(writes.covers_earlier_runs(a, runs));
     writes.begin_term(time_point{14s});
     CHECK_TRUE(writes.covers_earlier_runs(a, runs));
     CHECK_FALSE(writes.covers_earlier_runs(b, runs));
 }
+
+// Guards against a server that is dropped by the proof for another one that left before it, and against a
+// replica that lacks what the missing server may have confirmed.
+TEST(instance_witness, of_a_server_is_dropped_only_by_what_followed_its_own_end) {
+    auto record = primary_record{s1, 1, 1, false, {}, 0};
+    record.confirming = {s1, s2, s3};
+    auto servers = confirming_servers{};
+    const auto next = [&](int second, const std::set<server_id>& registered, int asked, position primary,
+                          position replica) {
+        return servers.next(
+            time_point{std::chrono::seconds{second}}, record, registered,
+            confirming_servers::primary_position{time_point{std::chrono::seconds{asked}}, primary},
+            {replica});
+    };
+    const auto s4 = server_id{"s4"};
+    CHECK_EQUAL(4U, next(10, {s1, s3, s4}, 9, {1, 100}, {1, 100}).size());
+    CHECK_TRUE(servers.has_missing());
+    CHECK_EQUAL(4U, next(12, {s1, s3, s4}, 11, {1, 120}, {1, 119}).size());
+    CHECK_EQUAL(4U, next(14, {s1, s4}, 13, {1, 130}, {1, 125}).size()); // s3 leaves too
+    CHECK_EQUAL(4U, next(16, {s1, s4}, 15, {1, 140}, {1, 139}).size());
+    CHECK_EQUAL(2U, next(18, {s1, s4}, 17, {1, 150}, {1, 140}).size());
+}
