Try a server that refuses connections once in 25 ms

Cause: a statement that needs the primary has one candidate, and was placed again at once after its connection was refused. The pause after failures is only for the choice among several servers.

Evidence: session_connections, are_opened_with_pauses_to_a_server_that_refuses_them fails without the change: over 11 attempts in 200 ms.

Why the fix works: a connection that did not open blocks further ones to that server for 25 ms, and until one opens each attempt does so, whatever number of statements waits. The pause is that after a server without room, after which waiting statements are dispatched already.

Measured: the test above.

--- a/src/include/citronlug/server_pool.h
+++ b/src/include/citronlug/server_pool.h
@@ -62,6 +62,7 @@
     time_point growth_blocked_until;  ///< no connection above the share is opened before this time
     time_point opening_blocked_until; ///< no connection at all is opened before this time
     time_point answered_at;           ///< time of the last answer
+    bool opening_failed = false;      ///< the last connection did not open
 };
 
 /// Connections of this instance to the backend servers. Chooses the connection for a statement, and returns
@@ -113,6 +114,9 @@
     auto on_answer(const server_id& id, duration latency, time_point now) -> void;
     auto on_failure(const server_id& id, time_point now) -> void;
     auto on_lagging(const server_id& id, time_point now) -> void;
+    /// A connection was refused, or lost before it was open. Until one opens, further ones are tried one by
+    /// one, with pauses.
+    auto on_opening_failed(const server_id& id, time_point now) -> void;
     /// The server refused a connection because it has reached its limit.
     auto on_connection_limit(const server_id& id, time_point now) -> void;
     /// The server refused a statement because its queue is full.
--- a/src/libcitronlug/server_pool.cpp
+++ b/src/libcitronlug/server_pool.cpp
@@ -197,7 +197,7 @@
 
 auto server_pool::open(const backend_server& server, const account_id& account, time_point now) -> opening {
     auto result = opening{};
-    const auto& status = health(server.id);
+    auto& status = health(server.id);
     const auto queue_was_full =
         status.queue_full_until != time_point{} && now < status.queue_full_until + queue_full_cooldown;
     if (status.opening_blocked_until > now || (queue_was_full && usage_of(server.id).total() > 0)) {
@@ -223,6 +223,9 @@
             connections_.erase(result.evicted);
         }
     }
+    if (status.opening_failed) {
+        status.opening_blocked_until = now + opening_pause;
+    }
     const auto id = next_connection_++;
     auto& added = connections_[id];
     added.id = id;
@@ -247,6 +250,7 @@
 
 auto server_pool::on_opened(connection_id id, time_point now) -> void {
     if (auto* it = find(id)) {
+        health(it->server.id).opening_failed = false;
         it->phase = connection_phase::idle;
         it->used_at = now;
     }
@@ -287,6 +291,13 @@
     health(id).lagging_until = now + lagging_pause;
 }
 
+auto server_pool::on_opening_failed(const server_id& id, time_point now) -> void {
+    if (servers_.contains(id)) {
+        health(id).opening_failed = true;
+        health(id).opening_blocked_until = now + opening_pause;
+    }
+}
+
 auto server_pool::on_connection_limit(const server_id& id, time_point now) -> void {
     health(id).growth_blocked_until = now + growth_pause;
     health(id).opening_blocked_until = now + opening_pause;
--- a/src/libcitronlug/session_answers.cpp
+++ b/src/libcitronlug/session_answers.cpp
@@ -56,6 +56,7 @@
     }
     const auto server = connection->server;
     const auto was_idle = connection->phase == connection_phase::idle;
+    const auto was_opening = connection->phase == connection_phase::opening;
     pool_.remove(id);
     rolling_back_.erase(id);
     probes_.erase(id);
@@ -75,6 +76,9 @@
                  {"why", std::string{name_of(reason)}}});
         }
         pool_.on_failure(server.id, now);
+        if (was_opening) {
+            pool_.on_opening_failed(server.id, now);
+        }
         if (server.id == group.primary.primary) {
             group.observations.failed_at = now;
         }
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -515,6 +515,35 @@
     CHECK(last_answer(1).state == transaction_state::idle);
 }
 
+TEST_GROUP_BASE(session_connections, session_proxy_base){};
+
+// Guards against thousands of connections per second to a primary that refuses them, until it is replaced.
+TEST(session_connections, are_opened_with_pauses_to_a_server_that_refuses_them) {
+    for (const auto caller : {1U, 2U, 3U}) {
+        start_session(caller, "place");
+        proxy.on_statement(now, caller, make_statement(session_verb::write, "q", "WRITE a b"));
+    }
+    auto attempts = 0;
+    const auto refuse_all = [&] {
+        while (!effects.opening.empty() && attempts < 1000) {
+            const auto id = effects.opening.front();
+            effects.opening.pop_front();
+            ++attempts;
+            proxy.on_server_lost(now, id, connection_loss::refused);
+        }
+    };
+    for (const auto end = now + 200ms; now < end; now += 5ms) {
+        refuse_all();
+        proxy.on_tick(now);
+    }
+    CHECK_TRUE(attempts >= 5); // a server that is back is noticed soon
+    CHECK_TRUE(attempts <= 11);
+    now += 30ms;
+    proxy.on_tick(now);
+    open_pending_connections();
+    CHECK_EQUAL(std::string{"WRITE a b"}, next_request().request.text);
+}
+
 // Guards against "aborted" after a commit was sent, and against "in doubt" before.
 TEST(session_transactions, are_aborted_before_commit_and_in_doubt_after_it) {
     auto connection = begin_transaction_with_write();
