Catch signals from the beginning of the program

Cause: the handlers were installed just before the event loop ran, and the default action of SIGHUP ends a process.

Evidence: testsuite/signal-at-start holds the process while it reads its settings. Before the change: "Hangup".

Why the fix works: the handlers are installed first; the signals wait in the pipe until the event loop reads it. What remains is the time in which the system loads the program.

Measured: testsuite/signal-at-start passes.

--- a/src/sessiond/session_program.cpp
+++ b/src/sessiond/session_program.cpp
@@ -33,6 +33,20 @@
     [[maybe_unused]] const auto n = write(signal_pipe[1], &byte, 1);
 }
 
+/// Signals from now on wait in the pipe until the event loop runs. Their default action would end a process
+/// that is still starting.
+auto catch_signals() -> bool {
+    if (pipe(signal_pipe) != 0) {
+        std::cerr << "cannot create a pipe for signals\n";
+        return false;
+    }
+    for (const auto number : {SIGTERM, SIGINT, SIGHUP}) {
+        std::signal(number, forward_signal);
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    return true;
+}
+
 /// Raises the soft limit of file descriptors, often 1024, because each connection needs one.
 auto raise_descriptor_limit() -> void {
     auto limit = rlimit{};
@@ -89,10 +103,6 @@
         std::cerr << *error << '\n';
         return 1;
     }
-    if (pipe(signal_pipe) != 0) {
-        std::cerr << "cannot create a pipe for signals\n";
-        return 1;
-    }
     auto loaded_text = read_file(settings_path);
     const auto reload = [&](bool forced) {
         auto text = read_file(settings_path);
@@ -119,9 +129,6 @@
     auto check = QTimer{};
     QObject::connect(&check, &QTimer::timeout, &instance, [&] { reload(false); });
     check.start(settings_check_ms);
-    for (const auto number : {SIGTERM, SIGINT, SIGHUP}) {
-        std::signal(number, forward_signal);
-    }
     return QCoreApplication::exec();
 }
 
@@ -129,6 +136,9 @@
 
 auto run_session_program(int argc, char** argv, const std::string& default_settings,
                          const platform_runner& with_platform) -> int {
+    if (!catch_signals()) {
+        return 1;
+    }
     auto options = cxxopts::Options{argv[0], "One session instance of the database proxy"};
     options.add_options()("settings", "settings file (JSON)",
                           cxxopts::value<std::string>()->default_value(default_settings))(
@@ -159,7 +169,6 @@
         std::cerr << "the system's random source is not available\n";
         return 1;
     }
-    std::signal(SIGPIPE, SIG_IGN);
     raise_descriptor_limit();
     QCoreApplication::setEventDispatcher(new epoll_dispatcher);
     auto application = QCoreApplication{argc, argv};
