Ignore acceptance and refusal of a caller that was dropped in the same turn

What callers could see: the end of an instance, if the first rules arrive in the turn of the event loop in which an unfinished connection that waits for them is closed to make room.

Cause: accept_caller and reject_caller looked the connection up with at(), but a dropped one is forgotten at once and the proxy is told in the next turn.

Why the fix works: a connection that is gone is skipped, as answer_caller does.

Not measured: no test shows the failure. It needs over 1,500 unfinished connections at an instance that starts.

--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -361,15 +361,22 @@
 }
 
 auto session_daemon::accept_caller(caller_id caller) -> void {
-    auto& it = caller_sockets_.at(caller);
+    const auto it = caller_sockets_.find(caller);
+    if (it == caller_sockets_.end()) {
+        return; // dropped in this turn of the event loop; the proxy is told in the next one
+    }
     caller_admission_.on_started(caller);
-    it.socket->set_max_line_bytes(platform_.wire.max_line_bytes());
-    it.socket->send(platform_.wire.encode_accept());
-    it.socket->resume();
+    it->second.socket->set_max_line_bytes(platform_.wire.max_line_bytes());
+    it->second.socket->send(platform_.wire.encode_accept());
+    it->second.socket->resume();
 }
 
 auto session_daemon::reject_caller(caller_id caller, const session_failure& reason) -> void {
-    caller_sockets_.at(caller).socket->send(platform_.wire.encode_reject(reason));
+    const auto it = caller_sockets_.find(caller);
+    if (it == caller_sockets_.end()) {
+        return; // as above
+    }
+    it->second.socket->send(platform_.wire.encode_reject(reason));
     close_caller(caller);
 }
 
