--- a/src/libcitronlug/server_list/server_list_order_test.cpp
+++ b/src/libcitronlug/server_list/server_list_order_test.cpp
@@ -15,7 +15,7 @@
     CHECK_FALSE(order.accept_fetched(77, {1, 150}));
     CHECK_TRUE(order.was_refused(77));
     CHECK_FALSE(order.was_refused(78));
-    CHECK_TRUE(order.present() == list_basis(1, 200));
+    CHECK_TRUE((order.present() == list_basis{1, 200}));
 
     // Nor does a late answer of the store replace a newer list of the coordinator.
     CHECK_TRUE(order.accept_fetched(78, {1, 250}));
