Take acknowledged writes of earlier terms into the bound of a new term

Unless all instances were witnesses, the position at which the new primary began the term is taken into the bound.

Groups without synchronous replication go by the reports of the present runs again, as before: a planned change or an evacuation of theirs must not wait for a proof that a restarted coordinator cannot get from a stopped server.

--- a/src/include/citronlug/acknowledged_writes.h
+++ b/src/include/citronlug/acknowledged_writes.h
@@ -38,9 +38,9 @@
     auto on_reported(position newest) -> void;
     /// The primary was at `at` in answer to a request of `asked_at`.
     auto on_primary_position(time_point asked_at, position at, const instance_runs& runs) -> void;
-    /// A term begins at `now`, and none of its writes is acknowledged yet. Earlier ones are in the log of its
-    /// primary.
-    auto begin_term(time_point now) -> void;
+    /// A term begins at `now`, and none of its writes is acknowledged yet. Acknowledged writes of earlier
+    /// terms are not newer than `earlier`, or were reported.
+    auto begin_term(time_point now, position earlier) -> void;
     /// True if `bound` covers what earlier runs of the instance acknowledged.
     [[nodiscard]] auto covers_earlier_runs(const instance_id& instance, const instance_runs& runs) const
         -> bool;
--- a/src/libcitronlug/coordinator_test_fixture.h
+++ b/src/libcitronlug/coordinator_test_fixture.h
@@ -63,6 +63,7 @@
     bool promotions_work = true;
     bool promotions_answer = true; ///< orders get an answer
     bool lose_write_answers = false;
+    bool writes_fail = false;      ///< of primary records, without effect
     bool instances_release = true; ///< instances report that they have released their permissions
     position acknowledged{1, 100};
     std::map<instance_id, std::optional<position>> acknowledged_by; ///< instead of `acknowledged`
@@ -116,6 +117,10 @@
 
     auto perform(primary_coordinator& node, const coordinator_action& action) -> void {
         if (const auto* write = std::get_if<write_record>(&action)) {
+            if (writes_fail && write->name != coordinator_lease_name) {
+                node.on_written(now, write->name, now, write_outcome::unknown, 0);
+                return;
+            }
             const auto outcome = store.write(*write);
             if (!lose_write_answers) {
                 node.on_written(now, write->name, now, outcome, store.records[write->name].second);
--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -105,10 +105,14 @@
     time_point phase_since;
     time_point permissions_end;
     std::optional<std::set<instance_id>> awaited_instances;
+    bool all_released = false; ///< all instances have reported that they released their permissions
     acknowledged_writes acknowledged;
+    /// The write of a result begins a term, and no acknowledged write before is newer than this, unless a
+    /// report stated it.
+    std::optional<position> term_begins_after;
     /// Instances whose reports state all that they acknowledged before the change under way.
     std::set<instance_id> witnesses;
-    bool knows_acknowledged = false; ///< from the reports of all instances
+    bool all_are_witnesses = false;
     confirming_servers confirming;
     time_point confirming_checked_at;
     time_point draining_since; ///< when the primary was first seen draining; zero if it is not
@@ -412,6 +416,9 @@
             group.ordered_at = {};
             break;
         case change_phase::writing_result:
+            if (group.term_begins_after) {
+                group.acknowledged.begin_term(group.written_at, *group.term_begins_after);
+            }
             group.phase = change_phase::steady;
             group.not_before = group.record.generation > 1 ? now + change_cooldown : now;
             group.sample.reset();
@@ -464,7 +471,9 @@
             result.status->term != group.record.term) {
             return;
         }
-        group.acknowledged.on_primary_position(asked_at, result.status->received, runs_);
+        if (is_synchronous(server.entry.group)) {
+            group.acknowledged.on_primary_position(asked_at, result.status->received, runs_);
+        }
         if (!group.record.changing && asked_at >= group.sample_asked_at) {
             group.sample = result.status->received;
             group.sample_asked_at = asked_at;
@@ -706,7 +715,7 @@
         return now - server.answered_at >= unresponsive_timeout && (failing || overdue);
     }
 
-    /// A server whose log is not in the history would bring rolled back entries to light again.
+    /// Not a server whose log is not in the history: it would restore entries that were rolled back.
     [[nodiscard]] auto is_eligible_successor(time_point now, const coordinated_group& group,
                                              const tracked_server& server) const -> bool {
         return server.entry.id != group.record.primary && !group.excluded.contains(server.entry.id) &&
@@ -868,10 +877,6 @@
             return;
         }
         const auto generation = era_ > 1 ? restored_number_step : 1;
-        if (era_ <=
-            1) { // otherwise an instance may have used the group under a record that the store has lost
-            group.acknowledged.begin_term(now);
-        }
         group.reason = "the failure domain of the leading server is evacuated";
         if (leader != nullptr) {
             const auto evacuated = evacuations_.is_evacuated(leader->entry);
@@ -880,6 +885,8 @@
             // Its term began here or before, so nothing beyond this belongs to an earlier term.
             first.history.begin_term(leader->status->term, leader->status->received.log);
             first.confirming = next_confirming_servers(now, id, group);
+            // Under a record that the store has lost, an instance may have acknowledged writes of this term.
+            group.term_begins_after = era_ <= 1 ? std::optional{position{}} : std::nullopt;
             write_group(now, id, group, first,
                         evacuated ? change_phase::writing_intent : change_phase::writing_result);
         } else if (evacuated_leader != nullptr) {
@@ -1003,7 +1010,7 @@
             now + std::chrono::duration_cast<duration>(permission_lifetime * (1 + max_clock_drift_fraction));
         group.awaited_instances.reset();
         group.witnesses.clear();
-        group.knows_acknowledged = false;
+        group.all_are_witnesses = false;
         group.excluded.clear();
         group.list_requested_at = {}; // the next tick requests the list
     }
@@ -1035,7 +1042,7 @@
                 group.witnesses.insert(name);
             }
         }
-        group.knows_acknowledged = group.witnesses.size() == group.awaited_instances->size();
+        group.all_are_witnesses = group.witnesses.size() == group.awaited_instances->size();
     }
 
     auto tick_awaiting_release(time_point now, const group_id& id, coordinated_group& group) -> void {
@@ -1056,7 +1063,8 @@
              fmt::format("generation={} by={} waited_ms={} missing={} witnesses={}", group.record.generation,
                          all ? "answers" : "expiry", (now - group.phase_since) / 1ms,
                          missing.empty() ? "none" : missing.substr(1),
-                         group.knows_acknowledged ? "all" : std::to_string(group.witnesses.size())));
+                         group.all_are_witnesses ? "all" : std::to_string(group.witnesses.size())));
+        group.all_released = all;
         group.is_waiting_logged = false;
         group.phase = change_phase::choosing_successor;
         group.phase_since = now;
@@ -1107,7 +1115,8 @@
     /// - it has all writes of the old primary, which still answers; or
     /// - it has the newest write that an instance acknowledged, and either all instances have reported
     ///   theirs, or it is the most advanced of all replicas, one of which has each acknowledged write if the
-    ///   group replicates synchronously.
+    ///   group replicates synchronously. Only in such a group do the writes of ended runs count too: a group
+    ///   that may lose them anyway is not held up for them.
     [[nodiscard]] auto has_all_writes(const group_id& id, const coordinated_group& group,
                                       const tracked_server& server) const -> bool {
         const auto& history = group.record.history;
@@ -1120,9 +1129,10 @@
         if (!history.covers(received, group.acknowledged.bound())) {
             return false;
         }
+        const auto all_reported = is_synchronous(id) ? group.all_are_witnesses : group.all_released;
         // An evacuation must not lose a write that only the old primary has.
-        return group.knows_acknowledged || ((is_synchronous(id) || !is_evacuated(group.record.primary)) &&
-                                            is_most_advanced(id, group, server));
+        return all_reported || ((is_synchronous(id) || !is_evacuated(group.record.primary)) &&
+                                is_most_advanced(id, group, server));
     }
 
     /// What a choice of the successor depends on, for the log.
@@ -1130,7 +1140,7 @@
         -> std::string {
         auto text = fmt::format("acknowledged={}.{} witnesses={} history=[{}] logs=[",
                                 group.acknowledged.bound().term, group.acknowledged.bound().log,
-                                group.knows_acknowledged ? "all" : std::to_string(group.witnesses.size()),
+                                group.all_are_witnesses ? "all" : std::to_string(group.witnesses.size()),
                                 to_text(group.record.history));
         for (const auto& [name, it] : servers_) {
             if (it.entry.group != id) {
@@ -1235,11 +1245,14 @@
             return;
         }
         // An instance that did not report in time may do so while an evacuation waits for it.
+        group.all_released =
+            group.all_released || (now >= registrations_complete_at_ && have_all_released(id, group));
         update_witnesses(now, id, group);
         const auto* best = choose_successor(now, id, group);
         if (best == nullptr && may_keep_primary(now, group)) {
             auto next = group.record;
             next.changing = false;
+            group.term_begins_after.reset();
             write_group(now, id, group, next, change_phase::writing_result);
             return;
         }
@@ -1286,7 +1299,7 @@
             next.candidate = {};
             // No instance has a permission to use it yet, so its log has no entry of its term.
             next.history.begin_term(next.term, server->status->received.log);
-            group.acknowledged.begin_term(now);
+            group.term_begins_after = group.all_are_witnesses ? position{} : server->status->received;
             write_group(now, id, group, next, change_phase::writing_result);
             return;
         }
--- a/src/libcitronlug/succession/acknowledged_writes.cpp
+++ b/src/libcitronlug/succession/acknowledged_writes.cpp
@@ -30,7 +30,8 @@
     }
 }
 
-auto acknowledged_writes::begin_term(time_point now) -> void {
+auto acknowledged_writes::begin_term(time_point now, position earlier) -> void {
+    bound_ = std::max(bound_, earlier);
     covered_until_ = now;
 }
 
--- a/src/libcitronlug/succession/witnesses_test.cpp
+++ b/src/libcitronlug/succession/witnesses_test.cpp
@@ -184,6 +184,32 @@
     CHECK_EQUAL(std::string{"s3"}, record().primary.value);
 }
 
+// Guards against a new term in which it is forgotten what ended runs acknowledged before. The write of its
+// record fails at first, and its primary is lost soon.
+TEST(succession_witnesses, new_term_covers_what_ended_runs_acknowledged_before) {
+    acknowledge(b);
+    acknowledged_by[b] = position{1, 100}; // its last report lacks the write
+    run_for(100ms);
+    restart(b);
+    crash({s1});
+    for (auto n = 0; n < 400 && orders.empty(); ++n) {
+        run_for(20ms);
+    }
+    CHECK_EQUAL(std::string{"s2"}, orders.at(0).server.value);
+    writes_fail = true;
+    run_for(200ms);
+    crash({s2});
+    writes_fail = false;
+    run_for(10s);
+    CHECK_TRUE(record().changing);
+    for (const auto& it : orders) {
+        CHECK_EQUAL(std::string{"s2"}, it.server.value);
+    }
+    server_states[s2].alive = true;
+    run_for(3s);
+    CHECK_EQUAL(std::string{"s2"}, record().primary.value);
+}
+
 // Guards against a server that is counted as a replica without the write, although it lost its log.
 TEST(succession_witnesses, server_that_lost_its_log_is_none) {
     silent = {b};
@@ -249,7 +275,8 @@
     CHECK_TRUE((writes.bound() == position{1, 20}));
     runs.on_report(time_point{13s}, a, 2);
     CHECK_FALSE(writes.covers_earlier_runs(a, runs));
-    writes.begin_term(time_point{14s});
+    writes.begin_term(time_point{14s}, {1, 25});
+    CHECK_TRUE((writes.bound() == position{1, 25}));
     CHECK_TRUE(writes.covers_earlier_runs(a, runs));
     CHECK_FALSE(writes.covers_earlier_runs(b, runs));
 }
