--- a/src/libcitronlug/primary_coordinator.cpp
+++ b/src/libcitronlug/primary_coordinator.cpp
@@ -1146,12 +1146,16 @@
             if (it.entry.group != id) {
                 continue;
             }
-            const auto received = it.status ? it.status->received : position{};
-            text += fmt::format("{}{}={}", text.ends_with('[') ? "" : " ", name.value,
-                                it.status ? fmt::format("{}.{}", received.term, received.log) : "unknown");
-            text += it.status && !group.record.history.contains(received) ? ":parted" : "";
+            text += fmt::format("{}{}=", text.ends_with('[') ? "" : " ", name.value);
+            if (it.status) {
+                const auto received = it.status->received;
+                text += fmt::format("{}.{}{}", received.term, received.log,
+                                    group.record.history.contains(received) ? "" : ":parted");
+                text += is_fresh(group, it) ? "" : fmt::format(":{}ms-old", (now - it.status_asked_at) / 1ms);
+            } else {
+                text += "unknown";
+            }
             text += it.entry.state == server_state::draining ? ":draining" : "";
-            text += is_fresh(group, it) ? "" : fmt::format(":{}ms-old", (now - it.status_asked_at) / 1ms);
         }
         return text + "]";
     }
