Measure how old an instance's rules may be, and what becomes of fetches

The hypotheses of docs/incidents/older-rules-in-force.md could not be told apart: no log or metric said whether a fetch was answered, or since when an instance's own rules were known to be the newest.

record_copy keeps that: a statement that a version was the newest is evidence only for a copy of that version. For now it only feeds the metrics citronlug_records_age_seconds{kind} and citronlug_record_fetches_total, and the event records-behind. No decision changes.

--- a/src/include/citronlug/log_events.h
+++ b/src/include/citronlug/log_events.h
@@ -42,11 +42,12 @@
     server_limit_changed,
     store_restored,
     caller_refused,
+    records_behind,
 };
 
 template <>
 struct name_table<log_event> {
-    static constexpr std::array<std::string_view, 36> names{
+    static constexpr std::array<std::string_view, 37> names{
         "process-started",  "process-stopping",     "process-stopped",  "settings-reloaded",
         "dependency-lost",  "dependency-regained",  "rules-applied",    "servers-changed",
         "primary-recorded", "permit-lost",          "permit-regained",  "change-started",
@@ -55,7 +56,8 @@
         "request-served",   "request-slow",         "request-retried",  "request-refused",
         "request-failed",   "request-in-doubt",     "session-rejected", "transaction-ended",
         "server-unusable",  "lines-dropped",        "record-rejected",  "evacuation-changed",
-        "server-cold",      "server-limit-changed", "store-restored",   "caller-refused"};
+        "server-cold",      "server-limit-changed", "store-restored",   "caller-refused",
+        "records-behind"};
 };
 
 } // namespace citronlug
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -46,6 +46,9 @@
 constexpr auto registration_retry = duration{300ms};
 constexpr auto max_registration_retry = duration{2400ms};
 
+/// An instance that has lacked a version for longer than this logs it.
+constexpr auto behind_log_delay = duration{1s};
+
 /// Rejected records that are remembered, so that each is logged once.
 constexpr auto max_rejected_records = std::size_t{1000};
 
@@ -119,6 +122,7 @@
         send_report(now);
     }
     update_store_watches(now);
+    measure_copies(now);
     if (leaving_) {
         finish_leaving(now);
     }
@@ -183,6 +187,10 @@
                 apply_rules(now, change.record.value);
             }
         }
+        if (answer.outcome == store_outcome::ok && it.mirror.confirmed_at() && active_rules_) {
+            rules_copy_.on_statement(now, copy_source::store, active_rules_->version,
+                                     *it.mirror.confirmed_at());
+        }
         break;
     case record_kind::servers:
         if (const auto basis = list_basis{store_.era(), it.mirror.shown_revision()};
@@ -311,12 +319,37 @@
         return;
     }
     active_rules_ = rules;
+    rules_copy_.hold(now, rules->version);
     fleet_.set_rules({rules->version, value});
     proxy_.set_rules(now, rules);
     coordinator_.set_groups(rules->groups);
     token_allocator_.set_limits(now, *rules);
 }
 
+auto session_daemon::measure_copies(time_point now) -> void {
+    const auto set_age = [&](record_kind kind, const std::optional<time_point>& confirmed_at) {
+        metrics_.set("citronlug_records_age_seconds", {{"kind", std::string{name_of(kind)}}},
+                     std::chrono::duration<double>(now - confirmed_at.value_or(started_at_)).count());
+    };
+    set_age(record_kind::rules, rules_copy_.confirmed_at());
+    if (evacuations_.is_watched()) {
+        set_age(record_kind::evacuations, evacuations_.evidence_at());
+    }
+    const auto behind_since = rules_copy_.behind_since();
+    const auto is_behind = behind_since && now - *behind_since > behind_log_delay;
+    if (is_behind && !rules_behind_logged_) {
+        log(log_level::warning, log_event::records_behind,
+            {{"kind", std::string{name_of(record_kind::rules)}},
+             {"version", std::to_string(active_rules_version())},
+             {"named", std::to_string(rules_copy_.named_version())},
+             {"age_ms", std::to_string((now - rules_copy_.confirmed_at().value_or(started_at_)) / 1ms)},
+             {"fetching", fetching_rules_ ? "yes" : "no"},
+             {"holder", newest_lease() ? newest_lease()->holder.value : std::string{}},
+             {"store", rules_.mirror.is_available() ? "available" : "unavailable"}});
+    }
+    rules_behind_logged_ = is_behind;
+}
+
 auto session_daemon::log_rejected(record_kind kind, const store_record& record, const std::string& reason)
     -> void {
     if (rejected_records_.size() >= max_rejected_records) {
@@ -377,11 +410,13 @@
         return;
     }
     fetching_servers_ = true;
-    fleet_.fetch_servers(address, [this](const fleet_link::record_text& servers) {
+    fleet_.fetch_servers(address, [this](const std::optional<fleet_link::record_text>& fetched) {
         fetching_servers_ = false;
-        if (servers.version == 0 || !coordinator_reachable_) {
+        count_fetch(record_kind::servers, fetched);
+        if (!fetched || fetched->version == 0 || !coordinator_reachable_) {
             return;
         }
+        const auto& servers = *fetched;
         const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(servers.value));
         if (!document.isObject()) {
             log(log_level::error, log_event::record_rejected,
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -106,6 +106,8 @@
     fleet_size_ = answer.instances;
     if (answer.rules_age) {
         rules_evidence_at_ = std::max(rules_evidence_at_, asked_at - *answer.rules_age);
+        rules_copy_.on_statement(now, copy_source::coordinator, answer.rules_version,
+                                 asked_at - *answer.rules_age);
     }
     for (const auto& it : answer.groups) {
         auto& known = reported_primaries_[it.group];
@@ -183,12 +185,22 @@
         return;
     }
     fetching_rules_ = true;
-    fleet_.fetch_rules(address, active_rules_version(), [this](const fleet_link::record_text& rules) {
-        fetching_rules_ = false;
-        if (rules.version > 0) {
-            apply_rules(clock_now(), rules.value);
-        }
-    });
+    fleet_.fetch_rules(address, active_rules_version(),
+                       [this](const std::optional<fleet_link::record_text>& rules) {
+                           fetching_rules_ = false;
+                           count_fetch(record_kind::rules, rules);
+                           if (rules && rules->version > 0) {
+                               apply_rules(clock_now(), rules->value);
+                           }
+                       });
+}
+
+auto session_daemon::count_fetch(record_kind kind, const std::optional<fleet_link::record_text>& fetched)
+    -> void {
+    metrics_.count("citronlug_record_fetches_total", {{"kind", std::string{name_of(kind)}},
+                                                      {"outcome", !fetched                ? "unanswered"
+                                                                  : fetched->version == 0 ? "nothing"
+                                                                                          : "delivered"}});
 }
 
 auto session_daemon::handle_report(const instance_report& report) -> report_answer {
--- a/src/sessiond/fleet_link.cpp
+++ b/src/sessiond/fleet_link.cpp
@@ -67,28 +67,28 @@
     rules_ = std::move(rules);
 }
 
-auto fleet_link::fetch_rules(const std::string& address, std::uint64_t version,
-                             std::function<void(record_text)> done) -> void {
+auto fleet_link::fetch_rules(const std::string& address, std::uint64_t version, fetch_handler done) -> void {
     if (!rpc_ || address == own_address_) {
-        done({});
+        done(std::nullopt);
         return;
     }
-    rpc_->fetch_config(address, version,
-                       [this, done = std::move(done)](const std::optional<config_reply>& reply) {
-                           auto found = reply ? record_text{reply->version, reply->text} : record_text{};
-                           tasks_.post([done, found = std::move(found)] { done(found); });
-                       });
+    rpc_->fetch_config(address, version, deliver_to(std::move(done)));
 }
 
-auto fleet_link::fetch_servers(const std::string& address, std::function<void(record_text)> done) -> void {
+auto fleet_link::fetch_servers(const std::string& address, fetch_handler done) -> void {
     if (!rpc_ || address == own_address_) {
-        done({});
+        done(std::nullopt);
         return;
     }
-    rpc_->fetch_servers(address, [this, done = std::move(done)](const std::optional<config_reply>& reply) {
-        auto found = reply ? record_text{reply->version, reply->text, reply->basis} : record_text{};
+    rpc_->fetch_servers(address, deliver_to(std::move(done)));
+}
+
+auto fleet_link::deliver_to(fetch_handler done) -> std::function<void(const std::optional<config_reply>&)> {
+    return [this, done = std::move(done)](const std::optional<config_reply>& reply) {
+        auto found =
+            reply ? std::optional{record_text{reply->version, reply->text, reply->basis}} : std::nullopt;
         tasks_.post([done, found = std::move(found)] { done(found); });
-    });
+    };
 }
 
 } // namespace citronlug
--- a/src/sessiond/fleet_link.h
+++ b/src/sessiond/fleet_link.h
@@ -47,12 +47,16 @@
     /// Rules and servers that other instances can fetch from this one.
     auto set_rules(record_text rules) -> void;
     auto set_servers(record_text servers) -> void;
+    /// Empty if the instance did not answer.
+    using fetch_handler = std::function<void(const std::optional<record_text>&)>;
     /// Fetches rules newer than `version` from an instance; `record_text::version` is 0 if there are none.
-    auto fetch_rules(const std::string& address, std::uint64_t version, std::function<void(record_text)> done)
-        -> void;
-    auto fetch_servers(const std::string& address, std::function<void(record_text)> done) -> void;
+    auto fetch_rules(const std::string& address, std::uint64_t version, fetch_handler done) -> void;
+    auto fetch_servers(const std::string& address, fetch_handler done) -> void;
 
 private:
+    /// Passes a reply of the RPC thread on to this object's thread.
+    auto deliver_to(fetch_handler done) -> std::function<void(const std::optional<config_reply>&)>;
+
     instance_id self_;
     std::string own_address_;
     handlers on_;
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -12,6 +12,7 @@
 #include <citronlug/cold_start.h>
 #include <citronlug/evacuation.h>
 #include <citronlug/primary_coordinator.h>
+#include <citronlug/record_copy.h>
 #include <citronlug/report_exchange.h>
 #include <citronlug/server_list_order.h>
 #include <citronlug/session_proxy.h>
@@ -108,6 +109,8 @@
     /// `fetched_version`: of the coordinator's list; 0: the records were read from the store.
     auto replace_servers(time_point now, const std::map<std::string, store_record>& records,
                          std::uint64_t fetched_version = 0) -> void;
+    /// Sets the metrics of the age of this instance's copies, and logs when one is behind for long.
+    auto measure_copies(time_point now) -> void;
     /// Logs why a record is not used, once for each revision of it.
     auto log_rejected(record_kind kind, const store_record& record, const std::string& reason) -> void;
     auto apply_servers(time_point now) -> void;
@@ -135,6 +138,7 @@
     [[nodiscard]] auto active_rules_version() const -> std::uint64_t;
     /// Fetches rules that are newer than this instance's from the coordinator.
     auto fetch_newer_rules(time_point now, const std::string& address) -> void;
+    auto count_fetch(record_kind kind, const std::optional<fleet_link::record_text>& fetched) -> void;
 
     /// `coordinator`: fencing token of the lease of its receiver.
     auto make_report(time_point now, std::uint64_t coordinator) -> instance_report;
@@ -223,6 +227,8 @@
     std::optional<coordinator_lease> announced_lease_;
     time_point announced_at_;
     bool fetching_rules_ = false;
+    record_copy rules_copy_{version_order::rising};
+    bool rules_behind_logged_ = false;
     std::uint64_t older_rules_logged_ = 0; ///< version of ignored rules
     bool wants_records_ = false;           ///< the coordinator asked for the primary records known here
     std::uint64_t answered_token_ = 0;     ///< of the coordinator that answered last
