--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -29,12 +29,9 @@
 /// fleet other instances read it meanwhile, and the next coordinator announces itself to all.
 [[nodiscard]] auto lease_read_interval(std::uint32_t instances) -> duration;
 
-/// The coordinator's word that there are no newer rules counts for this time. Then an instance asks the store
-/// itself: the coordinator may be cut off from it, and a withdrawn key must stop working all the same.
-inline constexpr duration rules_evidence_lifetime = 1800ms;
 /// Longest wait of the coordinator's watch of the rules at the store. A watch without events confirms the
 /// rules as of when it was sent, so shortly before its answer the evidence is twice as old as this wait.
-/// Twice the wait, a report interval and the calls' own times have to stay below `rules_evidence_lifetime`;
+/// Twice the wait, a report interval and the calls' own times have to stay below `copy_evidence_lifetime`;
 /// otherwise each instance lists the rules at the store by itself once in each watch.
 inline constexpr duration rules_watch_wait = 600ms;
 /// Interval of reports to the coordinator.
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -1,4 +1,5 @@
 #include <citronlug/coordination.h>
+#include <citronlug/record_copy.h>
 #include <citronlug/store_mirror.h>
 
 #include <CppUTest/TestHarness.h>
@@ -60,7 +61,7 @@
         CHECK_TRUE(watch && watch->is_watch);
         at += watch->wait + round_trip;
         const auto age_at_instances = at - *watched.confirmed_at() + report_interval + round_trip;
-        CHECK_TRUE(age_at_instances < rules_evidence_lifetime);
+        CHECK_TRUE(age_at_instances < copy_evidence_lifetime);
         CHECK_TRUE(watched.on_answer(at, watch->number, answer_of({}, 10)).empty());
     }
 }
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -283,7 +283,10 @@
     // While the coordinator is reachable, only the coordinator watches the store; the other instances learn
     // of all changes from its answers.
     const auto follows = coordinator_reachable_ && !is_coordinating_;
-    const auto rules_due_at = rules_evidence_at_ + rules_evidence_lifetime;
+    // Only a statement about the version that is in force here is evidence: the coordinator may name a newer
+    // one without delivering it.
+    const auto rules_due_at =
+        rules_copy_.confirmed_at(copy_source::coordinator).value_or(time_point{}) + copy_evidence_lifetime;
     rules_.mirror.set_paused(follows && now < rules_due_at, is_coordinating_ ? now : rules_due_at);
     servers_.mirror.set_paused(follows, is_coordinating_ ? now : now + servers_resume_delay);
     primaries_.mirror.set_paused(follows, is_coordinating_ ? now : now + primaries_resume_delay);
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -105,7 +105,6 @@
     proxy_.set_instances(now, answer.instances);
     fleet_size_ = answer.instances;
     if (answer.rules_age) {
-        rules_evidence_at_ = std::max(rules_evidence_at_, asked_at - *answer.rules_age);
         rules_copy_.on_statement(now, copy_source::coordinator, answer.rules_version,
                                  asked_at - *answer.rules_age);
     }
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -232,7 +232,6 @@
     std::uint64_t older_rules_logged_ = 0; ///< version of ignored rules
     bool wants_records_ = false;           ///< the coordinator asked for the primary records known here
     std::uint64_t answered_token_ = 0;     ///< of the coordinator that answered last
-    time_point rules_evidence_at_; ///< by the coordinator's word there were no newer rules than its own
     bool is_coordinating_ = false;
     std::uint64_t report_number_ = 0; ///< number of the last report
     bool report_pending_ = false;     ///< the last report has no answer yet
