Vouch only for rules that were read as the newest ones

Cause: the coordinator stated the age of its mirror of the store as the age of its rules. The mirror confirms an answer whose record cannot be read, and apply_rules may refuse the text, so the coordinator vouched for a version that was no longer the newest, and all others followed.

The coordinator now states when the store named the version that is in force.

--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -147,7 +147,7 @@
     std::uint64_t renewals = 0;        ///< of the lease, confirmed by the store
     std::uint32_t instances = 1;       ///< number of registered instances
     std::uint64_t rules_version = 0;   ///< newest rules at the coordinator
-    std::optional<duration> rules_age; ///< since the store was asked for newer rules and had none
+    std::optional<duration> rules_age; ///< since the store stated that `rules_version` is the newest
     std::uint64_t servers_version = 0; ///< changes with the coordinator's list of servers
     std::vector<group_status> groups;  ///< empty if the instance has the records of `records_version`
     std::vector<token_response> tokens;
--- a/src/include/citronlug/store_mirror.h
+++ b/src/include/citronlug/store_mirror.h
@@ -92,6 +92,8 @@
     [[nodiscard]] auto confirmed_at() const -> std::optional<time_point> { return confirmed_at_; }
     /// The records show all changes up to this revision of the store; 0 before the first listing.
     [[nodiscard]] auto shown_revision() const -> std::uint64_t { return shown_revision_; }
+    /// True if a watch since the last listing reported a change that could not be read.
+    [[nodiscard]] auto may_lack_change() const -> bool { return may_lack_change_; }
     [[nodiscard]] auto is_available() const -> bool { return failures_ == 0; }
     auto set_watch_wait(duration wait) -> void { watch_wait_ = wait; }
     /// Delay between a listing and the first watch after it, in case the other source answers meanwhile.
@@ -116,6 +118,7 @@
     std::uint64_t shown_revision_ = 0;
     std::uint64_t call_number_ = 0;
     bool call_pending_ = false;
+    bool may_lack_change_ = false;
     bool paused_ = false;
     time_point asked_at_;
     time_point listing_asked_at_;
--- a/src/libcitronlug/store_mirror.cpp
+++ b/src/libcitronlug/store_mirror.cpp
@@ -103,6 +103,7 @@
             revision_ = std::max(*revision_, answer.revision);
             shown_revision_ = *revision_;
         }
+        may_lack_change_ = may_lack_change_ || answer.unreadable_records > 0;
         confirmed_at_ = asked_at_;
         return changes;
     }
@@ -136,6 +137,7 @@
     revision_ = listing_revision_;
     shown_revision_ = listing_revision_;
     confirmed_at_ = listing_asked_at_;
+    may_lack_change_ = false;
     return changes;
 }
 
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -72,7 +72,12 @@
     auto answer = answer_of({}, 15);
     answer.unreadable_records = 1;
     CHECK_TRUE(mirror.on_answer(now, first->number, answer).empty());
+    CHECK_TRUE(mirror.may_lack_change());
     CHECK_EQUAL(15U, mirror.next_call(now)->revision);
+    mirror.list_again();
+    const auto list = mirror.next_call(now);
+    static_cast<void>(mirror.on_answer(now, list->number, answer_of({{"a", "1", 7}}, 16)));
+    CHECK_FALSE(mirror.may_lack_change());
 }
 
 // Guards against a paid listing and watch by each instance whenever the coordinator is away for a moment.
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -182,15 +182,7 @@
     }
     switch (it.kind) {
     case record_kind::rules:
-        for (const auto& change : changes) {
-            if (!change.removed && change.record.name == platform_.records.rules_record_name()) {
-                apply_rules(now, change.record.value);
-            }
-        }
-        if (answer.outcome == store_outcome::ok && it.mirror.confirmed_at() && active_rules_) {
-            rules_copy_.on_statement(now, copy_source::store, active_rules_->version,
-                                     *it.mirror.confirmed_at());
-        }
+        on_stored_rules(now, answer.outcome == store_outcome::ok, changes);
         break;
     case record_kind::servers:
         if (const auto basis = list_basis{store_.era(), it.mirror.shown_revision()};
@@ -304,12 +296,29 @@
                                                       : primaries_watch_fallback);
 }
 
-auto session_daemon::apply_rules(time_point now, const std::string& value) -> void {
+auto session_daemon::on_stored_rules(time_point now, bool answered,
+                                     const std::vector<store_mirror::change>& changes) -> void {
+    for (const auto& change : changes) {
+        if (change.record.name == platform_.records.rules_record_name()) {
+            stored_rules_version_ = change.removed ? std::nullopt : apply_rules(now, change.record.value);
+        }
+    }
+    auto& mirror = rules_.mirror;
+    if (mirror.may_lack_change()) {
+        mirror.list_again(); // the change that could not be read may be one of the rules
+        return;
+    }
+    if (answered && mirror.confirmed_at() && stored_rules_version_) {
+        rules_copy_.on_statement(now, copy_source::store, *stored_rules_version_, *mirror.confirmed_at());
+    }
+}
+
+auto session_daemon::apply_rules(time_point now, const std::string& value) -> std::optional<std::uint64_t> {
     auto decoded = platform_.records.decode_rules(value);
     if (const auto* reason = std::get_if<failure>(&decoded)) {
         log(log_level::error, log_event::rules_applied, {{"version", "none"}, {"why", reason->message}});
         metrics_.count("citronlug_rules_rejected_total");
-        return;
+        return std::nullopt;
     }
     auto rules = std::make_shared<const desired_state>(std::get<desired_state>(std::move(decoded)));
     if (active_rules_ && rules->version <= active_rules_->version) {
@@ -319,7 +328,7 @@
                 {{"version", std::to_string(active_rules_->version)},
                  {"why", fmt::format("the older version {} was ignored", rules->version)}});
         }
-        return;
+        return rules->version;
     }
     active_rules_ = rules;
     rules_copy_.hold(now, rules->version);
@@ -327,6 +336,7 @@
     proxy_.set_rules(now, rules);
     coordinator_.set_groups(rules->groups);
     token_allocator_.set_limits(now, *rules);
+    return rules->version;
 }
 
 auto session_daemon::measure_copies(time_point now) -> void {
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -222,7 +222,7 @@
     answer.renewals = coordinator_.lease()->renewals;
     answer.instances = static_cast<std::uint32_t>(instances_.size());
     answer.rules_version = active_rules_version();
-    if (const auto confirmed = rules_.mirror.confirmed_at()) {
+    if (const auto confirmed = rules_copy_.confirmed_at(copy_source::store)) {
         answer.rules_age = now - *confirmed;
     }
     if (const auto evidence = evacuations_.evidence_at()) {
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -103,7 +103,11 @@
     auto update_store_watches(time_point now) -> void;
     /// `restored`: the store has come back from an older copy.
     auto on_store_era(std::uint64_t before, std::uint64_t era, bool restored) -> void;
-    auto apply_rules(time_point now, const std::string& value) -> void;
+    /// Puts rules in force if they are newer. Returns their version, or nothing if they cannot be read.
+    auto apply_rules(time_point now, const std::string& value) -> std::optional<std::uint64_t>;
+    /// Applies changes of the rules in the store, and notes whether those in force are the newest.
+    auto on_stored_rules(time_point now, bool answered, const std::vector<store_mirror::change>& changes)
+        -> void;
     /// Replaces the registered servers by those that `records` describes. Records that describe none are
     /// logged once and not passed on to other instances.
     /// `fetched_version`: of the coordinator's list; 0: the records were read from the store.
@@ -228,6 +232,7 @@
     time_point announced_at_;
     bool fetching_rules_ = false;
     record_copy rules_copy_{version_order::rising};
+    std::optional<std::uint64_t> stored_rules_version_; ///< empty: there are none, or they cannot be read
     bool rules_behind_logged_ = false;
     std::uint64_t older_rules_logged_ = 0; ///< version of ignored rules
     bool wants_records_ = false;           ///< the coordinator asked for the primary records known here
