Read the servers from the store when the coordinator's word on them is old

What callers saw: nothing yet; the same cause as that of the older rules, looked for in the list of servers.

Cause: an instance that followed the coordinator never read the servers itself. It learned of a new list by its version and fetched it, without any limit on how long that may fail, and no answer stated how old the coordinator's own list was. A coordinator that delivered nothing, or that the store turned away, held a leaving server in use everywhere.

Two instances that have read the same records at different revisions hold the same list, so that equal lists are not fetched for ever. The coordinator's watch of the servers waits 0.6 s instead of 2.5 s, so that its word stays young enough.

--- a/src/include/citronlug/coordination.h
+++ b/src/include/citronlug/coordination.h
@@ -29,11 +29,6 @@
 /// fleet other instances read it meanwhile, and the next coordinator announces itself to all.
 [[nodiscard]] auto lease_read_interval(std::uint32_t instances) -> duration;
 
-/// Longest wait of the coordinator's watch of the rules at the store. A watch without events confirms the
-/// rules as of when it was sent, so shortly before its answer the evidence is twice as old as this wait.
-/// Twice the wait, a report interval and the calls' own times have to stay below `copy_evidence_lifetime`;
-/// otherwise each instance lists the rules at the store by itself once in each watch.
-inline constexpr duration rules_watch_wait = 600ms;
 /// Interval of reports to the coordinator.
 inline constexpr duration report_interval = 250ms;
 
@@ -142,14 +137,15 @@
 };
 
 struct report_answer {
-    bool is_coordinating = false;      ///< false: no other member is set
-    std::uint64_t fencing_token = 0;   ///< of the coordinator lease
-    std::uint64_t renewals = 0;        ///< of the lease, confirmed by the store
-    std::uint32_t instances = 1;       ///< number of registered instances
-    std::uint64_t rules_version = 0;   ///< newest rules at the coordinator
-    std::optional<duration> rules_age; ///< since the store stated that `rules_version` is the newest
-    std::uint64_t servers_version = 0; ///< changes with the coordinator's list of servers
-    std::vector<group_status> groups;  ///< empty if the instance has the records of `records_version`
+    bool is_coordinating = false;        ///< false: no other member is set
+    std::uint64_t fencing_token = 0;     ///< of the coordinator lease
+    std::uint64_t renewals = 0;          ///< of the lease, confirmed by the store
+    std::uint32_t instances = 1;         ///< number of registered instances
+    std::uint64_t rules_version = 0;     ///< newest rules at the coordinator
+    std::optional<duration> rules_age;   ///< since the store stated that `rules_version` is the newest
+    std::uint64_t servers_version = 0;   ///< changes with the coordinator's list of servers
+    std::optional<duration> servers_age; ///< since the store stated that this list is the newest
+    std::vector<group_status> groups;    ///< empty if the instance has the records of `records_version`
     std::vector<token_response> tokens;
     std::uint64_t records_version = 0;     ///< names the state of all primary records
     std::uint64_t samples_number = 0;      ///< counts the positions received since `records_version` began
--- a/src/include/citronlug/record_copy.h
+++ b/src/include/citronlug/record_copy.h
@@ -18,6 +18,13 @@
 /// from it, or may not deliver what it names.
 inline constexpr auto copy_evidence_lifetime = duration{1800ms};
 
+/// Longest wait of the coordinator's watches of the rules and servers at the store. A watch without events
+/// confirms the copy as of when it was sent, so shortly before its answer the evidence is twice as old as
+/// this wait. Twice the wait, a report interval and the calls' own times have to stay below
+/// `copy_evidence_lifetime`; otherwise each instance lists the records at the store by itself once in each
+/// watch.
+inline constexpr auto copy_watch_wait = duration{600ms};
+
 /// How versions of a copy compare.
 enum class version_order {
     rising,    ///< a newer version has a higher number
@@ -37,6 +44,7 @@
     /// copy is of another version. The statement then counts as soon as the copy is of that version.
     auto on_statement(time_point now, copy_source source, std::uint64_t version, time_point as_of) -> bool;
 
+    [[nodiscard]] auto version() const -> std::uint64_t { return held_; }
     /// The copy was the newest at this time, by the word of one source; empty: never.
     [[nodiscard]] auto confirmed_at(copy_source source) const -> std::optional<time_point>;
     /// The same by the word of any source.
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -52,7 +52,7 @@
 // fault: with a wait of 1,200 ms its evidence was up to 2,400 ms old, more than they accept.
 TEST(store_mirror, keeps_the_evidence_of_the_rules_young_enough_while_nothing_changes) {
     constexpr auto round_trip = 50ms;
-    auto watched = store_mirror{rules_watch_wait};
+    auto watched = store_mirror{copy_watch_wait};
     auto at = now;
     const auto listing = watched.next_call(at);
     CHECK_TRUE(watched.on_answer(at, listing->number, answer_of({}, 10)).size() == 0);
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -237,13 +237,14 @@
   samples @9 :List(GroupSample);
   wantsCompleteReport @10 :Bool;
   samplesNumber @11 :UInt64; # counts the positions received since recordsVersion began
-  rulesAgeUs @12 :Int64 = -1; # since the store was asked for newer rules and had none; -1: unknown
+  rulesAgeUs @12 :Int64 = -1; # since the store stated that rulesVersion is the newest; -1: unknown
   evacuated @13 :List(Text); # failure domains
   evacuationsAgeUs @14 :Int64 = -1; # since the store was asked for them; -1: unknown
   coldGrants @15 :List(ColdTokens);
   wantsRecords @16 :Bool;
   storeEra @17 :UInt64;
   deputies @18 :List(Text); # addresses of instances that lend tokens without a coordinator
+  serversAgeUs @19 :Int64 = -1; # since the store stated that serversVersion is the newest; -1: unknown
 }
 
 # Interface of a connection that is not authenticated yet.
--- a/src/peer/peer.capnp.h
+++ b/src/peer/peer.capnp.h
@@ -431,7 +431,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c60cb8a5ba5ec98c, 10, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c60cb8a5ba5ec98c, 11, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3606,6 +3606,8 @@
   inline bool hasDeputies() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDeputies() const;
 
+  inline  ::int64_t getServersAgeUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3717,6 +3719,9 @@
   inline void adoptDeputies(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDeputies();
 
+  inline  ::int64_t getServersAgeUs();
+  inline void setServersAgeUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10164,6 +10169,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t ReportAnswer::Reader::getServersAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t ReportAnswer::Builder::getServersAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void ReportAnswer::Builder::setServersAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/peer/peer_report_codec.cpp
+++ b/src/peer/peer_report_codec.cpp
@@ -187,6 +187,7 @@
     to.setToken(answer.fencing_token);
     to.setRenewals(answer.renewals);
     to.setServersVersion(answer.servers_version);
+    to.setServersAgeUs(encode_age(answer.servers_age));
     to.setInstances(answer.instances);
     to.setRulesVersion(answer.rules_version);
     to.setRulesAgeUs(encode_age(answer.rules_age));
@@ -244,6 +245,7 @@
     answer.fencing_token = from.getToken();
     answer.renewals = from.getRenewals();
     answer.servers_version = from.getServersVersion();
+    answer.servers_age = decode_age(from.getServersAgeUs());
     answer.instances = from.getInstances();
     answer.rules_version = from.getRulesVersion();
     answer.rules_age = decode_age(from.getRulesAgeUs());
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -18,14 +18,13 @@
 
 /// Maximum waits while the coordinator is unreachable. Answers to watches of the primaries then renew the
 /// permissions.
-constexpr auto rules_watch_fallback = duration{1900ms};
+constexpr auto copy_watch_fallback = duration{1900ms};
 
 constexpr auto primaries_watch_fallback = duration{900ms};
 
-/// Delays of calls to the store after the coordinator became unreachable: it, or the next one, often answers
-/// within them. Permissions need the primaries within 2 s of the coordinator's last answer.
+/// Delay of calls to the store after the coordinator became unreachable: it, or the next one, often answers
+/// within it. Permissions need the primaries within 2 s of the coordinator's last answer.
 constexpr auto primaries_resume_delay = duration{400ms};
-constexpr auto servers_resume_delay = duration{1s};
 /// After the coordinator is lost, instances read the evacuations spread over this span before their evidence
 /// lapses, less a margin for the call: the stop must follow within the limit of the evidence.
 constexpr auto evacuations_resume_spread = duration{800ms};
@@ -185,13 +184,8 @@
         on_stored_rules(now, answer.outcome == store_outcome::ok, changes);
         break;
     case record_kind::servers:
-        if (const auto basis = list_basis{store_.era(), it.mirror.shown_revision()};
-            answer.outcome == store_outcome::ok && it.mirror.confirmed_at() &&
-            (!changes.empty() || !servers_listed_ || servers_order_.present() < basis)) {
-            servers_listed_ = true;
-            if (servers_order_.accept(basis)) {
-                replace_servers(now, it.mirror.records());
-            }
+        if (answer.outcome == store_outcome::ok && it.mirror.confirmed_at()) {
+            on_stored_servers(now, !changes.empty());
         }
         break;
     case record_kind::primaries:
@@ -277,10 +271,13 @@
     const auto follows = coordinator_reachable_ && !is_coordinating_;
     // Only a statement about the version that is in force here is evidence: the coordinator may name a newer
     // one without delivering it.
-    const auto rules_due_at =
-        rules_copy_.confirmed_at(copy_source::coordinator).value_or(time_point{}) + copy_evidence_lifetime;
-    rules_.mirror.set_paused(follows && now < rules_due_at, is_coordinating_ ? now : rules_due_at);
-    servers_.mirror.set_paused(follows, is_coordinating_ ? now : now + servers_resume_delay);
+    const auto pause = [&](store_mirror& mirror, const record_copy& copy) {
+        const auto due_at =
+            copy.confirmed_at(copy_source::coordinator).value_or(time_point{}) + copy_evidence_lifetime;
+        mirror.set_paused(follows && now < due_at, is_coordinating_ ? now : due_at);
+    };
+    pause(rules_.mirror, rules_copy_);
+    pause(servers_.mirror, servers_copy_);
     primaries_.mirror.set_paused(follows, is_coordinating_ ? now : now + primaries_resume_delay);
     const auto evacuations_due_at = evacuations_.due_at();
     const auto early = evacuations_call_margin +
@@ -291,7 +288,8 @@
     for (auto* it : {&rules_, &servers_, &primaries_, &evacuated_}) {
         it->mirror.set_first_watch_delay(is_coordinating_ ? duration{} : follower_watch_delay);
     }
-    rules_.mirror.set_watch_wait(is_coordinating_ ? rules_watch_wait : rules_watch_fallback);
+    rules_.mirror.set_watch_wait(is_coordinating_ ? copy_watch_wait : copy_watch_fallback);
+    servers_.mirror.set_watch_wait(is_coordinating_ ? copy_watch_wait : copy_watch_fallback);
     primaries_.mirror.set_watch_wait(is_coordinating_ ? primaries_watch_coordinator
                                                       : primaries_watch_fallback);
 }
@@ -345,22 +343,33 @@
                      std::chrono::duration<double>(now - confirmed_at.value_or(started_at_)).count());
     };
     set_age(record_kind::rules, rules_copy_.confirmed_at());
+    set_age(record_kind::servers, servers_copy_.confirmed_at());
     if (evacuations_.is_watched()) {
         set_age(record_kind::evacuations, evacuations_.evidence_at());
     }
-    const auto behind_since = rules_copy_.behind_since();
-    const auto is_behind = behind_since && now - *behind_since > behind_log_delay;
-    if (is_behind && !rules_behind_logged_) {
-        log(log_level::warning, log_event::records_behind,
-            {{"kind", std::string{name_of(record_kind::rules)}},
-             {"version", std::to_string(active_rules_version())},
-             {"named", std::to_string(rules_copy_.named_version())},
-             {"age_ms", std::to_string((now - rules_copy_.confirmed_at().value_or(started_at_)) / 1ms)},
-             {"fetching", fetching_rules_ ? "yes" : "no"},
-             {"holder", newest_lease() ? newest_lease()->holder.value : std::string{}},
-             {"store", rules_.mirror.is_available() ? "available" : "unavailable"}});
-    }
-    rules_behind_logged_ = is_behind;
+    log_if_behind(now, rules_, rules_copy_, fetching_rules_);
+    log_if_behind(now, servers_, servers_copy_, fetching_servers_);
+}
+
+auto session_daemon::log_if_behind(time_point now, const mirrored_kind& it, const record_copy& copy,
+                                   bool fetching) -> void {
+    const auto since = copy.behind_since();
+    if (!since || now - *since <= behind_log_delay) {
+        behind_logged_.erase(it.kind);
+        return;
+    }
+    if (!behind_logged_.insert(it.kind).second) {
+        return;
+    }
+    const auto lease = newest_lease();
+    log(log_level::warning, log_event::records_behind,
+        {{"kind", std::string{name_of(it.kind)}},
+         {"version", std::to_string(copy.version())},
+         {"named", std::to_string(copy.named_version())},
+         {"age_ms", std::to_string((now - copy.confirmed_at().value_or(started_at_)) / 1ms)},
+         {"fetching", fetching ? "yes" : "no"},
+         {"holder", lease ? lease->holder.value : std::string{}},
+         {"store", it.mirror.is_available() ? "available" : "unavailable"}});
 }
 
 auto session_daemon::log_rejected(record_kind kind, const store_record& record, const std::string& reason)
@@ -378,6 +387,20 @@
         {{"kind", std::string{name_of(kind)}}, {"name", record.name}, {"why", reason}});
 }
 
+auto session_daemon::on_stored_servers(time_point now, bool changed) -> void {
+    const auto& mirror = servers_.mirror;
+    const auto basis = list_basis{store_.era(), mirror.shown_revision()};
+    if (changed || !servers_listed_ || servers_order_.present() < basis) {
+        servers_listed_ = true;
+        if (servers_order_.accept(basis)) {
+            replace_servers(now, mirror.records());
+        }
+    }
+    if (servers_order_.present() == basis) {
+        servers_copy_.on_statement(now, copy_source::store, servers_version_, *mirror.confirmed_at());
+    }
+}
+
 auto session_daemon::replace_servers(time_point now, const std::map<std::string, store_record>& records,
                                      std::uint64_t fetched_version) -> void {
     auto next = std::map<server_id, backend_server>{};
@@ -403,8 +426,8 @@
         // A random version is unique to each list, even across changes of coordinator.
         servers_version_ = random_number();
     }
-    fleet_.set_servers({servers_version_, QJsonDocument{text}.toJson(QJsonDocument::Compact).toStdString(),
-                        servers_order_.present()});
+    servers_text_ = QJsonDocument{text}.toJson(QJsonDocument::Compact).toStdString();
+    publish_servers(now);
     if (!is_changed) {
         return;
     }
@@ -417,6 +440,11 @@
     apply_servers(now);
 }
 
+auto session_daemon::publish_servers(time_point now) -> void {
+    servers_copy_.hold(now, servers_version_);
+    fleet_.set_servers({servers_version_, servers_text_, servers_order_.present()});
+}
+
 auto session_daemon::fetch_newer_servers(std::uint64_t version, const std::string& address) -> void {
     if (fetching_servers_ || version == servers_version_ || version == 0 ||
         servers_order_.was_refused(version)) {
@@ -430,6 +458,12 @@
             return;
         }
         const auto& servers = *fetched;
+        if (servers.value == servers_text_) {
+            // Read by both from the store, maybe at different revisions.
+            servers_version_ = servers.version;
+            publish_servers(clock_now());
+            return;
+        }
         const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(servers.value));
         if (!document.isObject()) {
             log(log_level::error, log_event::record_rejected,
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -108,6 +108,10 @@
         rules_copy_.on_statement(now, copy_source::coordinator, answer.rules_version,
                                  asked_at - *answer.rules_age);
     }
+    if (answer.servers_age) {
+        servers_copy_.on_statement(now, copy_source::coordinator, answer.servers_version,
+                                   asked_at - *answer.servers_age);
+    }
     for (const auto& it : answer.groups) {
         auto& known = reported_primaries_[it.group];
         if (it.record.generation >= known.record.generation) {
@@ -231,6 +235,9 @@
         answer.evacuated.assign(domains.begin(), domains.end());
     }
     answer.servers_version = servers_version_;
+    if (const auto confirmed = servers_copy_.confirmed_at(copy_source::store)) {
+        answer.servers_age = now - *confirmed;
+    }
     answer.store_era = store_.era();
     answer.wants_records = coordinator_.is_collecting(now);
     auto groups = std::vector<group_status>{};
--- a/src/sessiond/session_daemon.cpp
+++ b/src/sessiond/session_daemon.cpp
@@ -16,14 +16,9 @@
 
 constexpr auto tick_interval_ms = 20;
 
-/// Maximum wait of a watch at the store. Changes arrive immediately; the wait only bounds how long an
-/// unresponsive connection stays undetected. The wait can be long while the coordinator is reachable, because
-/// its answers announce newer rules and primaries.
-constexpr auto servers_watch = duration{2500ms};
-
 /// Maximum waits while the coordinator is unreachable. Answers to watches of the primaries then renew the
 /// permissions.
-constexpr auto rules_watch_fallback = duration{1900ms};
+constexpr auto copy_watch_fallback = duration{1900ms};
 
 constexpr auto primaries_watch_fallback = duration{900ms};
 
@@ -124,8 +119,8 @@
               }}}
     , caller_admission_{make_caller_limits(settings_)}
     , caller_memory_{make_caller_limits(settings_).memory}
-    , rules_{record_kind::rules, store_mirror{rules_watch_fallback}}
-    , servers_{record_kind::servers, store_mirror{servers_watch}}
+    , rules_{record_kind::rules, store_mirror{copy_watch_fallback}}
+    , servers_{record_kind::servers, store_mirror{copy_watch_fallback}}
     , primaries_{record_kind::primaries, store_mirror{primaries_watch_fallback}}
     , evacuated_{record_kind::evacuations, store_mirror{evacuation_watch_wait}}
     , evacuations_{settings_.evacuation_limit} {
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -115,6 +115,12 @@
                          std::uint64_t fetched_version = 0) -> void;
     /// Sets the metrics of the age of this instance's copies, and logs when one is behind for long.
     auto measure_copies(time_point now) -> void;
+    /// Puts the servers in the store in force if they are newer, and notes whether those in force are.
+    auto on_stored_servers(time_point now, bool changed) -> void;
+    auto log_if_behind(time_point now, const mirrored_kind& it, const record_copy& copy, bool fetching)
+        -> void;
+    /// Offers the list of servers in force to other instances.
+    auto publish_servers(time_point now) -> void;
     /// Logs why a record is not used, once for each revision of it.
     auto log_rejected(record_kind kind, const store_record& record, const std::string& reason) -> void;
     auto apply_servers(time_point now) -> void;
@@ -212,7 +218,9 @@
     std::map<std::pair<record_kind, std::string>, std::uint64_t> rejected_records_; ///< revision by name
     /// Version of the coordinator's list of servers; while this instance coordinates, of its own list.
     std::uint64_t servers_version_ = 0;
+    std::string servers_text_; ///< records of the list in force
     server_list_order servers_order_;
+    record_copy servers_copy_{version_order::unordered};
     bool fetching_servers_ = false;
 
     bool registered_ = false;
@@ -233,10 +241,10 @@
     bool fetching_rules_ = false;
     record_copy rules_copy_{version_order::rising};
     std::optional<std::uint64_t> stored_rules_version_; ///< empty: there are none, or they cannot be read
-    bool rules_behind_logged_ = false;
-    std::uint64_t older_rules_logged_ = 0; ///< version of ignored rules
-    bool wants_records_ = false;           ///< the coordinator asked for the primary records known here
-    std::uint64_t answered_token_ = 0;     ///< of the coordinator that answered last
+    std::set<record_kind> behind_logged_;               ///< kinds of which `records-behind` was logged
+    std::uint64_t older_rules_logged_ = 0;              ///< version of ignored rules
+    bool wants_records_ = false;       ///< the coordinator asked for the primary records known here
+    std::uint64_t answered_token_ = 0; ///< of the coordinator that answered last
     bool is_coordinating_ = false;
     std::uint64_t report_number_ = 0; ///< number of the last report
     bool report_pending_ = false;     ///< the last report has no answer yet
