Send rules and servers between instances in compressed form

Cause: each instance fetches the whole text of a version, all at the same time. Large rules are 350 KB; 31 of them are 87 Mbit, with 60 Mbit/s between the areas and changes each 1.2 s.

The texts resemble each other from line to line. compressed_text makes one of 1,400 routes with random names smaller than a fifth (its test). It is sent only to an instance that says that it accepts it, so both versions of the program work together.

--- /dev/null
+++ b/src/libcitronlug/compressed_text/compressed_text_test.cpp
@@ -0,0 +1,48 @@
+#include <citronlug/compressed_text.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <fmt/format.h>
+
+#include <random>
+
+using namespace citronlug;
+
+TEST_GROUP(compressed_text){/// Rules of 1,400 routes with random names.
+                            static auto large_rules()->std::string{auto random = std::mt19937_64{7};
+auto text = std::string{R"({"Version":7,"Routes":[)"};
+for (auto n = 0; n < 1400; ++n) {
+    text += fmt::format(
+        R"({{"Name":"r-{:x}","DatabaseName":"d{:x}","PathPrefix":"/","RouteType":"bounded_staleness","TimeoutMs":2000,)"
+        R"("TargetLatencyMs":1000,"Priority":2,"Service":"huvo11a","MaxAttempts":2,"Public":false}},)",
+        random() >> 32U, random() >> 32U);
+}
+return text;
+}
+}
+;
+
+// Guards against links that are full for seconds because each instance gets a version of large rules.
+TEST(compressed_text, of_large_rules_is_a_fraction_of_them) {
+    const auto text = large_rules();
+    const auto data = compress_text(text);
+    CHECK(data.size() * 5 < text.size());
+    CHECK_TRUE(expand_text(data) == text);
+}
+
+TEST(compressed_text, keeps_any_bytes) {
+    for (const auto& it : {std::string{}, std::string{"\0\xff\n", 3}, std::string(1, 'x')}) {
+        CHECK_TRUE(expand_text(compress_text(it)) == it);
+    }
+}
+
+// Guards against memory for a length that a broken message announces, and against a part of a text taken for
+// the whole.
+TEST(compressed_text, is_not_expanded_if_it_is_damaged) {
+    const auto data = compress_text(large_rules());
+    CHECK_FALSE(expand_text("").has_value());
+    CHECK_FALSE(expand_text("abc").has_value());
+    CHECK_FALSE(expand_text(std::string_view{data}.substr(0, data.size() / 2)).has_value());
+    CHECK_FALSE(expand_text("\x7f\xff\xff\xff" + data.substr(4)).has_value());
+    CHECK_FALSE(expand_text(std::string{"\x00\x00\x00\x01", 4} + data.substr(4)).has_value());
+}
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -264,7 +264,9 @@
   takeGrant @2 (account :Text, wanted :UInt32, remainingUs :Int64)
       -> (held :Bool, tokens :UInt32, waitUs :Int64);
   giveBack @3 (account :Text, tokens :UInt32, ageUs :Int64);
-  fetchConfig @4 (version :UInt64) -> (version :UInt64, text :Text);
+  # Empty text: see compressed, which is set only for a peer that accepts it.
+  fetchConfig @4 (version :UInt64, acceptsCompressed :Bool)
+      -> (version :UInt64, text :Text, compressed :Data);
   locate @5 (kind :UInt8, name :Text)
       -> (found :Bool, instance :Text, address :Text, epoch :UInt64);
   timeline @6 (filter :EventFilter) -> (events :List(Event));
@@ -275,5 +277,6 @@
   announce @10 (holder :Text, run :UInt64, token :UInt64, address :Text);
   # The coordinator's list of registered backend servers, as a JSON object: name to record.
   # era and revision: the state of the store that the list shows.
-  fetchServers @11 () -> (version :UInt64, text :Text, era :UInt64, revision :UInt64);
+  fetchServers @11 (acceptsCompressed :Bool)
+      -> (version :UInt64, text :Text, era :UInt64, revision :UInt64, compressed :Data);
 }
--- a/src/peer/peer.capnp.h
+++ b/src/peer/peer.capnp.h
@@ -688,7 +688,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(85f5fe6ac70eebde, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(85f5fe6ac70eebde, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -703,7 +703,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae1a8092fa8c1321, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ae1a8092fa8c1321, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -898,7 +898,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db69c0d805982e54, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(db69c0d805982e54, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -913,7 +913,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(883a3a2f5e8b216f, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(883a3a2f5e8b216f, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4960,6 +4960,8 @@
 
   inline  ::uint64_t getVersion() const;
 
+  inline bool getAcceptsCompressed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4991,6 +4993,9 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
+  inline bool getAcceptsCompressed();
+  inline void setAcceptsCompressed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5039,6 +5044,9 @@
   inline bool hasText() const;
   inline  ::capnp::Text::Reader getText() const;
 
+  inline bool hasCompressed() const;
+  inline  ::capnp::Data::Reader getCompressed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5077,6 +5085,13 @@
   inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownText();
 
+  inline bool hasCompressed();
+  inline  ::capnp::Data::Builder getCompressed();
+  inline void setCompressed( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initCompressed(unsigned int size);
+  inline void adoptCompressed(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownCompressed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6125,6 +6140,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getAcceptsCompressed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6153,6 +6170,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getAcceptsCompressed();
+  inline void setAcceptsCompressed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6205,6 +6225,9 @@
 
   inline  ::uint64_t getRevision() const;
 
+  inline bool hasCompressed() const;
+  inline  ::capnp::Data::Reader getCompressed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6249,6 +6272,13 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
+  inline bool hasCompressed();
+  inline  ::capnp::Data::Builder getCompressed();
+  inline void setCompressed( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initCompressed(unsigned int size);
+  inline void adoptCompressed(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownCompressed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10765,6 +10795,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::FetchConfigParams::Reader::getAcceptsCompressed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::FetchConfigParams::Builder::getAcceptsCompressed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FetchConfigParams::Builder::setAcceptsCompressed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Peer::FetchConfigResults::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10813,6 +10857,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::FetchConfigResults::Reader::hasCompressed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchConfigResults::Builder::hasCompressed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::FetchConfigResults::Reader::getCompressed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Peer::FetchConfigResults::Builder::getCompressed() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::FetchConfigResults::Builder::setCompressed( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Peer::FetchConfigResults::Builder::initCompressed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::FetchConfigResults::Builder::adoptCompressed(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::FetchConfigResults::Builder::disownCompressed() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t Peer::LocateParams::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -11320,6 +11398,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::FetchServersParams::Reader::getAcceptsCompressed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::FetchServersParams::Builder::getAcceptsCompressed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FetchServersParams::Builder::setAcceptsCompressed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Peer::FetchServersResults::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -11396,6 +11488,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::FetchServersResults::Reader::hasCompressed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchServersResults::Builder::hasCompressed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::FetchServersResults::Reader::getCompressed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Peer::FetchServersResults::Builder::getCompressed() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::FetchServersResults::Builder::setCompressed( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Peer::FetchServersResults::Builder::initCompressed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::FetchServersResults::Builder::adoptCompressed(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::FetchServersResults::Builder::disownCompressed() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/peer/peer_rpc.cpp
+++ b/src/peer/peer_rpc.cpp
@@ -4,6 +4,8 @@
 #include "peer_codec.h"
 #include "peer_server.h"
 
+#include <citronlug/compressed_text.h>
+
 #include <capnp/rpc-twoparty.h>
 #include <sodium.h>
 
@@ -80,6 +82,17 @@
     std::vector<waiting_call> waiting;
 };
 
+/// Version and text of fetched records; empty if the text cannot be expanded.
+template <class Results>
+auto decode_records(Results& from) -> std::optional<config_reply> {
+    const auto data = from.getCompressed();
+    if (data.size() == 0) {
+        return config_reply{from.getVersion(), std::string{from.getText()}};
+    }
+    auto text = expand_text({reinterpret_cast<const char*>(data.begin()), data.size()});
+    return text ? std::optional{config_reply{from.getVersion(), std::move(*text)}} : std::nullopt;
+}
+
 } // namespace
 
 class peer_rpc::implementation final : public kj::TaskSet::ErrorHandler {
@@ -503,21 +516,27 @@
         [version](wire::Peer::Client& peer) {
             auto it = peer.fetchConfigRequest();
             it.setVersion(version);
+            it.setAcceptsCompressed(true);
             return it.send();
         },
-        [done](auto& it) {
-            done(config_reply{it.getVersion(), std::string{it.getText()}});
-        },
-        [done] { done(std::nullopt); });
+        [done](auto& it) { done(decode_records(it)); }, [done] { done(std::nullopt); });
 }
 
 auto peer_rpc::fetch_servers(const std::string& address,
                              std::function<void(std::optional<config_reply>)> done) -> void {
     impl_->call_short(
         address, clock_now() + 300ms,
-        [](wire::Peer::Client& peer) { return peer.fetchServersRequest().send(); },
+        [](wire::Peer::Client& peer) {
+            auto it = peer.fetchServersRequest();
+            it.setAcceptsCompressed(true);
+            return it.send();
+        },
         [done](auto& it) {
-            done(config_reply{it.getVersion(), std::string{it.getText()}, {it.getEra(), it.getRevision()}});
+            auto reply = decode_records(it);
+            if (reply) {
+                reply->basis = {it.getEra(), it.getRevision()};
+            }
+            done(std::move(reply));
         },
         [done] { done(std::nullopt); });
 }
--- a/src/peer/peer_rpc.h
+++ b/src/peer/peer_rpc.h
@@ -26,6 +26,8 @@
     std::uint64_t version = 0; ///< 0: the peer has no newer version
     std::string text;
     list_basis basis{}; ///< of a list of servers
+    std::string
+        compressed; ///< `text` in compressed form, sent instead to a peer that accepts it; empty: none
 };
 
 /// Whether a failed call may have had an effect.
--- a/src/peer/peer_rpc_test.cpp
+++ b/src/peer/peer_rpc_test.cpp
@@ -11,6 +11,7 @@
 #include <thread>
 #include <vector>
 
+#include <citronlug/compressed_text.h>
 #include <citronlug/testing.h> // its macros for operator new must follow the other headers
 
 using namespace citronlug;
@@ -22,6 +23,7 @@
     std::unique_ptr<peer_rpc> client;
     std::string address;
     std::atomic<bool> answers_requests = true;
+    config_reply offered_rules; ///< set while no call is in flight
     std::vector<std::function<void(answer, epoch_number)>> pending_replies; ///< used on the server's thread
 
     auto start(const std::string& client_secret)->void {
@@ -41,6 +43,9 @@
         services.config_version = [] {
             return std::uint64_t{5};
         };
+        services.fetch_config = [this](std::uint64_t /*version*/) {
+            return offered_rules;
+        };
         server = std::make_unique<peer_rpc>(instance_id{"server"}, "secret", services);
         address = "127.0.0.1:" + std::to_string(server->listen("127.0.0.1:0"));
         client = std::make_unique<peer_rpc>(instance_id{"client"}, client_secret, peer_services{});
@@ -60,6 +65,13 @@
         return reply.get_future().get();
     }
 
+    auto fetch_rules()->std::optional<config_reply> {
+        auto reply = std::promise<std::optional<config_reply>>{};
+        client->fetch_config(address, 0,
+                             [&](std::optional<config_reply> it) { reply.set_value(std::move(it)); });
+        return reply.get_future().get();
+    }
+
     auto teardown()->void override {
         client.reset();
         server.reset();
@@ -164,3 +176,18 @@
         ::close(fd);
     }
 }
+
+// Guards against rules that differ from the sender's because they were compressed on the way.
+TEST(peers, deliver_compressed_rules_as_text) {
+    start("secret");
+    const auto text = std::string(300'000, 'r');
+    offered_rules = {7, text, {}, compress_text(text)};
+    CHECK(fetch_rules()->text == text);
+    LONGS_EQUAL(7, fetch_rules()->version);
+    offered_rules.compressed = {};
+    CHECK(fetch_rules()->text == text);
+
+    // A damaged text is no answer.
+    offered_rules.compressed = compress_text(text).substr(0, 100);
+    CHECK_FALSE(fetch_rules().has_value());
+}
--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -42,6 +42,17 @@
     epoch_number epoch = 0;
 };
 
+template <class Results>
+auto encode_records(const config_reply& reply, bool accepts_compressed, Results to) -> void {
+    to.setVersion(reply.version);
+    if (accepts_compressed && !reply.compressed.empty()) {
+        to.setCompressed(
+            {reinterpret_cast<const kj::byte*>(reply.compressed.data()), reply.compressed.size()});
+    } else {
+        to.setText(reply.text);
+    }
+}
+
 class peer_impl final : public wire::Peer::Server {
 public:
     explicit peer_impl(std::shared_ptr<inbound_state> state)
@@ -127,17 +138,14 @@
 
     auto fetchConfig(FetchConfigContext context) -> kj::Promise<void> override {
         const auto reply = state_->services.fetch_config(context.getParams().getVersion());
-        auto results = context.getResults();
-        results.setVersion(reply.version);
-        results.setText(reply.text);
+        encode_records(reply, context.getParams().getAcceptsCompressed(), context.getResults());
         return kj::READY_NOW;
     }
 
     auto fetchServers(FetchServersContext context) -> kj::Promise<void> override {
         const auto reply = state_->services.fetch_servers();
         auto results = context.getResults();
-        results.setVersion(reply.version);
-        results.setText(reply.text);
+        encode_records(reply, context.getParams().getAcceptsCompressed(), results);
         results.setEra(reply.basis.era);
         results.setRevision(reply.basis.revision);
         return kj::READY_NOW;
--- a/src/sessiond/fleet_link.cpp
+++ b/src/sessiond/fleet_link.cpp
@@ -1,5 +1,7 @@
 #include "fleet_link.h"
 
+#include <citronlug/compressed_text.h>
+
 namespace citronlug {
 
 fleet_link::fleet_link(instance_id self, std::string own_address, handlers on)
@@ -26,16 +28,23 @@
     };
     services.fetch_config = [this](std::uint64_t version) {
         const auto lock = std::lock_guard{mutex_};
-        return rules_.version > version ? config_reply{rules_.version, rules_.value} : config_reply{};
+        return rules_.records.version > version ? make_reply(rules_) : config_reply{};
     };
     services.fetch_servers = [this] {
         const auto lock = std::lock_guard{mutex_};
-        return config_reply{servers_.version, servers_.value, servers_.basis};
+        return make_reply(servers_);
     };
     rpc_ = std::make_unique<peer_rpc>(self_, secret, std::move(services));
     rpc_->listen(own_address_);
 }
 
+auto fleet_link::make_reply(offered_records& from) -> config_reply {
+    if (from.compressed.empty()) {
+        from.compressed = compress_text(from.records.value);
+    }
+    return {from.records.version, from.records.value, from.records.basis, from.compressed};
+}
+
 auto fleet_link::report(const std::string& address, const instance_report& report, answer_handler done)
     -> void {
     if (address == own_address_) {
@@ -59,12 +68,12 @@
 
 auto fleet_link::set_servers(record_text servers) -> void {
     const auto lock = std::lock_guard{mutex_};
-    servers_ = std::move(servers);
+    servers_ = {std::move(servers), {}};
 }
 
 auto fleet_link::set_rules(record_text rules) -> void {
     const auto lock = std::lock_guard{mutex_};
-    rules_ = std::move(rules);
+    rules_ = {std::move(rules), {}};
 }
 
 auto fleet_link::fetch_rules(const std::string& address, std::uint64_t version, fetch_handler done) -> void {
--- a/src/sessiond/fleet_link.h
+++ b/src/sessiond/fleet_link.h
@@ -54,6 +54,11 @@
     auto fetch_servers(const std::string& address, fetch_handler done) -> void;
 
 private:
+    struct offered_records {
+        record_text records;
+        std::string compressed; ///< made for the first instance that fetches them
+    };
+    static auto make_reply(offered_records& from) -> config_reply;
     /// Passes a reply of the RPC thread on to this object's thread.
     auto deliver_to(fetch_handler done) -> std::function<void(const std::optional<config_reply>&)>;
 
@@ -61,9 +66,9 @@
     std::string own_address_;
     handlers on_;
     std::mutex mutex_;
-    record_text rules_;   ///< guarded by `mutex_`; read on the RPC thread
-    record_text servers_; ///< as `rules_`
-    task_queue tasks_;    ///< moves answers from the RPC thread to this object's thread
+    offered_records rules_;   ///< guarded by `mutex_`; read on the RPC thread
+    offered_records servers_; ///< as `rules_`
+    task_queue tasks_;        ///< moves answers from the RPC thread to this object's thread
     std::unique_ptr<peer_rpc> rpc_;
 };
 
