Ask another source for records that one does not deliver

Cause: a fetch had no end of its own. While one was under way, from whatever instance, nothing else was asked: the flag was cleared by its answer or by the loss of its connection, up to 1.7 s later, also after the coordinator had changed; an answer whose handler failed would never have cleared it. A failed fetch was repeated at the same source only.

record_fetch asks each source once for 1 s, the coordinator first, then the deputies, then the store, and begins anew after a pause. A late answer still counts if it is newer. The list of servers has the coordinator and the store as sources.

--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -120,6 +120,7 @@
     if (now - reported_at_ >= report_interval || report_due_) {
         send_report(now);
     }
+    fetch_lacking_records(now);
     update_store_watches(now);
     measure_copies(now);
     if (leaving_) {
@@ -271,13 +272,13 @@
     const auto follows = coordinator_reachable_ && !is_coordinating_;
     // Only a statement about the version that is in force here is evidence: the coordinator may name a newer
     // one without delivering it.
-    const auto pause = [&](store_mirror& mirror, const record_copy& copy) {
-        const auto due_at =
-            copy.confirmed_at(copy_source::coordinator).value_or(time_point{}) + copy_evidence_lifetime;
+    const auto pause = [&](store_mirror& mirror, const record_copy& copy, const record_fetch& fetch) {
+        const auto evidence_at = copy.confirmed_at(copy_source::coordinator).value_or(time_point{});
+        const auto due_at = fetch.is_store_due() ? now : evidence_at + copy_evidence_lifetime;
         mirror.set_paused(follows && now < due_at, is_coordinating_ ? now : due_at);
     };
-    pause(rules_.mirror, rules_copy_);
-    pause(servers_.mirror, servers_copy_);
+    pause(rules_.mirror, rules_copy_, rules_fetch_);
+    pause(servers_.mirror, servers_copy_, servers_fetch_);
     primaries_.mirror.set_paused(follows, is_coordinating_ ? now : now + primaries_resume_delay);
     const auto evacuations_due_at = evacuations_.due_at();
     const auto early = evacuations_call_margin +
@@ -347,12 +348,12 @@
     if (evacuations_.is_watched()) {
         set_age(record_kind::evacuations, evacuations_.evidence_at());
     }
-    log_if_behind(now, rules_, rules_copy_, fetching_rules_);
-    log_if_behind(now, servers_, servers_copy_, fetching_servers_);
+    log_if_behind(now, rules_, rules_copy_, rules_fetch_);
+    log_if_behind(now, servers_, servers_copy_, servers_fetch_);
 }
 
 auto session_daemon::log_if_behind(time_point now, const mirrored_kind& it, const record_copy& copy,
-                                   bool fetching) -> void {
+                                   const record_fetch& fetch) -> void {
     const auto since = copy.behind_since();
     if (!since || now - *since <= behind_log_delay) {
         behind_logged_.erase(it.kind);
@@ -367,7 +368,7 @@
          {"version", std::to_string(copy.version())},
          {"named", std::to_string(copy.named_version())},
          {"age_ms", std::to_string((now - copy.confirmed_at().value_or(started_at_)) / 1ms)},
-         {"fetching", fetching ? "yes" : "no"},
+         {"fetching", fetch.is_pending(now) ? "yes" : "no"},
          {"holder", lease ? lease->holder.value : std::string{}},
          {"store", it.mirror.is_available() ? "available" : "unavailable"}});
 }
@@ -445,48 +446,46 @@
     fleet_.set_servers({servers_version_, servers_text_, servers_order_.present()});
 }
 
-auto session_daemon::fetch_newer_servers(std::uint64_t version, const std::string& address) -> void {
-    if (fetching_servers_ || version == servers_version_ || version == 0 ||
-        servers_order_.was_refused(version)) {
+auto session_daemon::fetch_servers(const record_fetch::request& from) -> void {
+    fleet_.fetch_servers(from.address,
+                         [this, number = from.number](const std::optional<fleet_link::record_text>& fetched) {
+                             count_fetch(record_kind::servers, fetched);
+                             const auto is_delivered = fetched && fetched->version != 0;
+                             servers_fetch_.on_answer(number, is_delivered);
+                             if (is_delivered && coordinator_reachable_) {
+                                 on_fetched_servers(clock_now(), *fetched);
+                             }
+                         });
+}
+
+auto session_daemon::on_fetched_servers(time_point now, const fleet_link::record_text& servers) -> void {
+    if (servers.value == servers_text_) {
+        // Read by both from the store, maybe at different revisions.
+        servers_version_ = servers.version;
+        publish_servers(now);
         return;
     }
-    fetching_servers_ = true;
-    fleet_.fetch_servers(address, [this](const std::optional<fleet_link::record_text>& fetched) {
-        fetching_servers_ = false;
-        count_fetch(record_kind::servers, fetched);
-        if (!fetched || fetched->version == 0 || !coordinator_reachable_) {
-            return;
-        }
-        const auto& servers = *fetched;
-        if (servers.value == servers_text_) {
-            // Read by both from the store, maybe at different revisions.
-            servers_version_ = servers.version;
-            publish_servers(clock_now());
-            return;
-        }
-        const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(servers.value));
-        if (!document.isObject()) {
-            log(log_level::error, log_event::record_rejected,
-                {{"kind", std::string{name_of(record_kind::servers)}},
-                 {"why", "the coordinator's list of servers is not a JSON object"}});
-            return;
-        }
-        if (!servers_order_.accept_fetched(servers.version, servers.basis)) {
-            metrics_.count("citronlug_older_server_lists_total");
-            log(log_level::info, log_event::servers_changed,
-                {{"why",
-                  fmt::format("the coordinator's list of revision {} is older than that of revision {}",
-                              servers.basis.revision, servers_order_.present().revision)}});
-            return;
-        }
-        auto records = std::map<std::string, store_record>{};
-        const auto object = document.object();
-        for (auto it = object.begin(); it != object.end(); ++it) {
-            auto name = it.key().toStdString();
-            records[name] = {name, it.value().toString().toStdString(), 0};
-        }
-        replace_servers(clock_now(), records, servers.version);
-    });
+    const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(servers.value));
+    if (!document.isObject()) {
+        log(log_level::error, log_event::record_rejected,
+            {{"kind", std::string{name_of(record_kind::servers)}},
+             {"why", "the coordinator's list of servers is not a JSON object"}});
+        return;
+    }
+    if (!servers_order_.accept_fetched(servers.version, servers.basis)) {
+        metrics_.count("citronlug_older_server_lists_total");
+        log(log_level::info, log_event::servers_changed,
+            {{"why", fmt::format("the coordinator's list of revision {} is older than that of revision {}",
+                                 servers.basis.revision, servers_order_.present().revision)}});
+        return;
+    }
+    auto records = std::map<std::string, store_record>{};
+    const auto object = document.object();
+    for (auto it = object.begin(); it != object.end(); ++it) {
+        auto name = it.key().toStdString();
+        records[name] = {name, it.value().toString().toStdString(), 0};
+    }
+    replace_servers(now, records, servers.version);
 }
 
 auto session_daemon::apply_servers(time_point now) -> void {
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -127,12 +127,8 @@
         }
         apply_evacuations(now, list);
     }
-    if (!is_coordinating_) {
-        fetch_newer_servers(answer.servers_version, newest_lease()->peer_address);
-    }
-    if (answer.rules_version > active_rules_version()) {
-        fetch_newer_rules(now, newest_lease()->peer_address);
-    }
+    rules_deputies_ = answer.deputies;
+    fetch_lacking_records(now);
     apply_primaries(now);
     for (const auto& it : answer.groups) {
         // Ignores positions of a primary that is known here to be replaced: they may be missing in the log of
@@ -182,17 +178,44 @@
     }
 }
 
-auto session_daemon::fetch_newer_rules(time_point now, const std::string& address) -> void {
-    static_cast<void>(now);
-    if (fetching_rules_) {
-        return;
+auto session_daemon::rules_sources() const -> std::vector<std::string> {
+    auto sources = std::vector<std::string>{};
+    if (const auto lease = newest_lease()) {
+        sources.push_back(lease->peer_address);
     }
-    fetching_rules_ = true;
-    fleet_.fetch_rules(address, active_rules_version(),
-                       [this](const std::optional<fleet_link::record_text>& rules) {
-                           fetching_rules_ = false;
+    // Instances begin with different deputies, so that these share the work.
+    auto deputies = rules_deputies_;
+    if (!deputies.empty()) {
+        const auto first = static_cast<std::ptrdiff_t>(run_ % deputies.size());
+        std::rotate(deputies.begin(), deputies.begin() + first, deputies.end());
+    }
+    sources.insert(sources.end(), deputies.begin(), deputies.end());
+    std::erase_if(sources, [&](const auto& it) { return it.empty() || it == settings_.peer_address; });
+    return sources;
+}
+
+auto session_daemon::fetch_lacking_records(time_point now) -> void {
+    if (is_coordinating_ || !rules_copy_.behind_since()) {
+        rules_fetch_.reset();
+    } else if (const auto request = rules_fetch_.next(now, rules_sources())) {
+        fetch_rules(*request);
+    }
+    const auto lease = newest_lease();
+    if (is_coordinating_ || !lease || !servers_copy_.behind_since() ||
+        servers_order_.was_refused(servers_copy_.named_version())) {
+        servers_fetch_.reset();
+    } else if (const auto request = servers_fetch_.next(now, {lease->peer_address})) {
+        fetch_servers(*request);
+    }
+}
+
+auto session_daemon::fetch_rules(const record_fetch::request& from) -> void {
+    fleet_.fetch_rules(from.address, active_rules_version(),
+                       [this, number = from.number](const std::optional<fleet_link::record_text>& rules) {
                            count_fetch(record_kind::rules, rules);
-                           if (rules && rules->version > 0) {
+                           const auto is_delivered = rules && rules->version > active_rules_version();
+                           rules_fetch_.on_answer(number, is_delivered);
+                           if (is_delivered) {
                                apply_rules(clock_now(), rules->value);
                            }
                        });
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -13,6 +13,7 @@
 #include <citronlug/evacuation.h>
 #include <citronlug/primary_coordinator.h>
 #include <citronlug/record_copy.h>
+#include <citronlug/record_fetch.h>
 #include <citronlug/report_exchange.h>
 #include <citronlug/server_list_order.h>
 #include <citronlug/session_proxy.h>
@@ -117,15 +118,16 @@
     auto measure_copies(time_point now) -> void;
     /// Puts the servers in the store in force if they are newer, and notes whether those in force are.
     auto on_stored_servers(time_point now, bool changed) -> void;
-    auto log_if_behind(time_point now, const mirrored_kind& it, const record_copy& copy, bool fetching)
-        -> void;
+    auto log_if_behind(time_point now, const mirrored_kind& it, const record_copy& copy,
+                       const record_fetch& fetch) -> void;
     /// Offers the list of servers in force to other instances.
     auto publish_servers(time_point now) -> void;
     /// Logs why a record is not used, once for each revision of it.
     auto log_rejected(record_kind kind, const store_record& record, const std::string& reason) -> void;
     auto apply_servers(time_point now) -> void;
-    /// Fetches the coordinator's list of servers if its version differs from this instance's.
-    auto fetch_newer_servers(std::uint64_t version, const std::string& address) -> void;
+    /// Fetches a list of servers from an instance.
+    auto fetch_servers(const record_fetch::request& from) -> void;
+    auto on_fetched_servers(time_point now, const fleet_link::record_text& servers) -> void;
     auto apply_primaries(time_point now) -> void;
     /// Takes a list of evacuations over and logs a change.
     auto apply_evacuations(time_point now, const evacuation_evidence& list) -> void;
@@ -146,8 +148,11 @@
     [[nodiscard]] auto newest_lease() const -> std::optional<coordinator_lease>;
     /// 0 if there are no rules yet.
     [[nodiscard]] auto active_rules_version() const -> std::uint64_t;
-    /// Fetches rules that are newer than this instance's from the coordinator.
-    auto fetch_newer_rules(time_point now, const std::string& address) -> void;
+    /// Fetches rules and servers that this instance lacks from another one.
+    auto fetch_lacking_records(time_point now) -> void;
+    /// Addresses of instances that may have rules that this one lacks, the best one first.
+    [[nodiscard]] auto rules_sources() const -> std::vector<std::string>;
+    auto fetch_rules(const record_fetch::request& from) -> void;
     auto count_fetch(record_kind kind, const std::optional<fleet_link::record_text>& fetched) -> void;
 
     /// `coordinator`: fencing token of the lease of its receiver.
@@ -221,7 +226,7 @@
     std::string servers_text_; ///< records of the list in force
     server_list_order servers_order_;
     record_copy servers_copy_{version_order::unordered};
-    bool fetching_servers_ = false;
+    record_fetch servers_fetch_;
 
     bool registered_ = false;
     bool registering_ = false;
@@ -238,7 +243,8 @@
     instance_addresses instances_; ///< of registered instances, known while coordinating
     std::optional<coordinator_lease> announced_lease_;
     time_point announced_at_;
-    bool fetching_rules_ = false;
+    record_fetch rules_fetch_;
+    std::vector<std::string> rules_deputies_; ///< other instances that may have newer rules
     record_copy rules_copy_{version_order::rising};
     std::optional<std::uint64_t> stored_rules_version_; ///< empty: there are none, or they cannot be read
     std::set<record_kind> behind_logged_;               ///< kinds of which `records-behind` was logged
