Let the records of a failing store take turns

Cause: of the kinds of records that fail at the store only the first in the order primaries, servers, rules was tried again, and rules only once both others had succeeded.

Still only one kind tries at a time, but the one whose last call is the oldest.

Shown by store_mirror, takes_turns_with_others_at_a_failing_store, which failed before.

--- a/src/include/citronlug/store_mirror.h
+++ b/src/include/citronlug/store_mirror.h
@@ -95,6 +95,8 @@
     /// True if a watch since the last listing reported a change that could not be read.
     [[nodiscard]] auto may_lack_change() const -> bool { return may_lack_change_; }
     [[nodiscard]] auto is_available() const -> bool { return failures_ == 0; }
+    [[nodiscard]] auto has_call_in_flight() const -> bool { return call_pending_; }
+    [[nodiscard]] auto last_call_at() const -> time_point { return asked_at_; }
     auto set_watch_wait(duration wait) -> void { watch_wait_ = wait; }
     /// Delay between a listing and the first watch after it, in case the other source answers meanwhile.
     auto set_first_watch_delay(duration delay) -> void { first_watch_delay_ = delay; }
@@ -129,8 +131,9 @@
     std::uint32_t failures_ = 0;
 };
 
-/// True if `it` is available, or the first of the unavailable mirrors in `all`. Only that one retries; the
-/// others wait for its success, because each call costs money and adds load to a failing store.
+/// True if `it` is available, or if it is its turn among the unavailable mirrors in `all`. Only one of these
+/// retries at a time, because each call costs money and adds load to a failing store. They take turns, because
+/// the calls of one may fail for a reason that does not concern the others.
 [[nodiscard]] auto may_call(const std::vector<const store_mirror*>& all, const store_mirror& it) -> bool;
 
 } // namespace citronlug
--- a/src/libcitronlug/store_mirror.cpp
+++ b/src/libcitronlug/store_mirror.cpp
@@ -142,9 +142,22 @@
 }
 
 auto may_call(const std::vector<const store_mirror*>& all, const store_mirror& it) -> bool {
-    const auto failing =
-        std::find_if(all.begin(), all.end(), [](const auto* mirror) { return !mirror->is_available(); });
-    return it.is_available() || *failing == &it;
+    if (it.is_available()) {
+        return true;
+    }
+    const store_mirror* next = nullptr;
+    for (const auto* other : all) {
+        if (other->is_available()) {
+            continue;
+        }
+        if (other->has_call_in_flight()) {
+            return other == &it;
+        }
+        if (next == nullptr || other->last_call_at() < next->last_call_at()) {
+            next = other;
+        }
+    }
+    return next == &it;
 }
 
 } // namespace citronlug
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -186,6 +186,27 @@
     CHECK_TRUE(may_call(all, other));
 }
 
+// Guards against rules that wait for the store's answers to another kind, which fails for a reason of its
+// own.
+TEST(store_mirror, takes_turns_with_others_at_a_failing_store) {
+    auto primaries = store_mirror{1s};
+    const auto all = std::vector<const store_mirror*>{&primaries, &mirror};
+    const auto fail = [&](store_mirror& it) {
+        const auto call = it.next_call(now);
+        CHECK_TRUE(call.has_value());
+        static_cast<void>(it.on_answer(now, call->number, failed(store_outcome::unanswered)));
+    };
+    fail(mirror);
+    now += 100ms;
+    fail(primaries);
+    CHECK_TRUE(may_call(all, mirror));
+    CHECK_FALSE(may_call(all, primaries));
+    now += 200ms;
+    fail(mirror);
+    CHECK_FALSE(may_call(all, mirror));
+    CHECK_TRUE(may_call(all, primaries));
+}
+
 // Guards against a paused mirror that blocks the retries of the others although it makes no calls itself.
 TEST(store_mirror, resets_failures_when_it_is_paused) {
     const auto call = mirror.next_call(now);
