List records that change faster than watches report them

Cause: a watch reports each change in full. Where a version takes longer to arrive than the next one to be made, each answer holds more versions than the one before, and the coordinator falls further and further behind.

After an answer with two states of one record the mirror lists, which gives the last state only.

Shown by store_mirror, lists_again_after_several_changes_of_one_record, which fails on the code before.

--- a/src/libcitronlug/store_mirror.cpp
+++ b/src/libcitronlug/store_mirror.cpp
@@ -1,6 +1,8 @@
 #include <citronlug/store_mirror.h>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace citronlug {
 
@@ -10,6 +12,13 @@
 constexpr auto initial_retry_pause = duration{150ms};
 constexpr auto max_retry_pause = duration{600ms};
 
+/// True if the answer holds two states of one record.
+auto has_repeated_record(const store_answer& answer) -> bool {
+    auto names = std::set<std::string_view>{};
+    return std::any_of(answer.records.begin(), answer.records.end(),
+                       [&](const store_record& it) { return !names.insert(it.name).second; });
+}
+
 } // namespace
 
 store_mirror::store_mirror(duration watch_wait)
@@ -105,6 +114,11 @@
         }
         may_lack_change_ = may_lack_change_ || answer.unreadable_records > 0;
         confirmed_at_ = asked_at_;
+        if (has_repeated_record(answer)) {
+            // Changes are faster than the answers, which get longer and longer. A listing holds the last one
+            // only.
+            revision_.reset();
+        }
         return changes;
     }
     if (list_cursor_.empty()) {
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -124,6 +124,24 @@
     }
 }
 
+// Guards against a copy that falls further and further behind on a narrow link: a watch reports each of
+// several changes, and while these are on their way there are more.
+TEST(store_mirror, lists_again_after_several_changes_of_one_record) {
+    const auto watch = mirror.next_call(now);
+    CHECK_EQUAL(1U, mirror.on_answer(now, watch->number, answer_of({{"a", "2", 12}}, 12)).size());
+    const auto next_watch = mirror.next_call(now);
+    CHECK_TRUE(next_watch->is_watch);
+    now += 100ms;
+    CHECK_EQUAL(
+        2U,
+        mirror.on_answer(now, next_watch->number, answer_of({{"a", "3", 14}, {"a", "4", 16}}, 16)).size());
+    CHECK(mirror.confirmed_at() == now - 100ms);
+    const auto list = mirror.next_call(now);
+    CHECK_FALSE(list->is_watch);
+    CHECK_EQUAL(1U, mirror.on_answer(now, list->number, answer_of({{"a", "6", 20}}, 20)).size());
+    CHECK_TRUE(mirror.next_call(now)->is_watch);
+}
+
 // Guards against keeping records that were removed while no watch was open.
 TEST(store_mirror, reports_records_removed_between_two_listings) {
     mirror.list_again();
