Refuse for good only by rules that are known to be the newest

Cause: an instance answered that a route or a key does not exist by rules whose age it did not consider. Callers do not retry that, although other instances may have the newer version.

Shown by session_start, is_not_judged_by_rules_that_may_be_old, which fails without the limit.

--- a/src/include/citronlug/session_proxy.h
+++ b/src/include/citronlug/session_proxy.h
@@ -74,6 +74,8 @@
     auto set_rules(time_point now, std::shared_ptr<const desired_state> rules) -> void;
     auto set_servers(time_point now, const std::vector<backend_server>& servers) -> void;
     auto set_primary(time_point now, const primary_view& view) -> void;
+    /// The rules in force were the newest at `confirmed_at`. Without a call their age is not considered.
+    auto set_rules_evidence(time_point confirmed_at) -> void;
     auto set_instances(time_point now, std::uint32_t live) -> void;
     /// Until it is called, placement does not learn. To be called before the first `set_servers`; `seed`
     /// differs between instances.
--- a/src/libcitronlug/session_proxy.cpp
+++ b/src/libcitronlug/session_proxy.cpp
@@ -12,6 +12,8 @@
 constexpr auto shutdown_idle_time = duration{300ms};
 /// Longest wait of a new session for this instance to load its first rules. Callers time out after 2 s.
 constexpr auto pending_start_timeout = duration{1700ms};
+/// Rules that were the newest longer ago cannot tell that a route or key does not exist.
+constexpr auto max_age_for_final_refusals = duration{3s};
 /// Counted for each session value and prepared statement beside its texts: a node of the map.
 constexpr auto session_entry_bytes = std::size_t{128};
 /// A session is not closed for another one before it has been idle for this time: a caller that has just been
@@ -49,14 +51,16 @@
     const auto route = rules_->route_of(database);
     if (!route) {
         log(log_level::info, log_event::session_rejected, {{"why", "no route"}, {"database", database}});
-        effects_.reject_caller(caller, {session_error::no_database, "no route has this database name"});
+        effects_.reject_caller(
+            caller, refusal_by_rules(now, {session_error::no_database, "no route has this database name"}));
         return;
     }
     const auto account = rules_->account_of(key);
     if (!account && !route->open_to_all) {
         log(log_level::info, log_event::session_rejected,
             {{"why", "unknown caller"}, {"database", database}});
-        effects_.reject_caller(caller, {session_error::unauthorised, "the key is not valid"});
+        effects_.reject_caller(caller,
+                               refusal_by_rules(now, {session_error::unauthorised, "the key is not valid"}));
         return;
     }
     auto& session = sessions_[caller];
@@ -171,19 +175,29 @@
     effects_.answer_caller(session.id, answer);
 }
 
-auto session_proxy::implementation::authorise(time_point /*now*/, caller_session& session,
+auto session_proxy::implementation::refusal_by_rules(time_point now, session_failure final) const
+    -> session_failure {
+    if (rules_confirmed_at_ && now - *rules_confirmed_at_ > max_age_for_final_refusals) {
+        return {session_error::busy,
+                "the rules of this instance may be out of date; retry now at another instance"};
+    }
+    return final;
+}
+
+auto session_proxy::implementation::authorise(time_point now, caller_session& session,
                                               const std::string& request)
     -> std::shared_ptr<const session_route> {
     auto route = rules_->route_of(session.database);
     const auto account = rules_->account_of(session.key);
     if (!route) {
-        refuse(session, request, {session_error::no_database, "the route was removed"},
+        refuse(session, request, refusal_by_rules(now, {session_error::no_database, "the route was removed"}),
                transaction_state::idle);
         effects_.close_caller(session.id);
         return nullptr;
     }
     if (!route->open_to_all && (!account || *account != session.account)) {
-        refuse(session, request, {session_error::unauthorised, "the key was withdrawn"},
+        refuse(session, request,
+               refusal_by_rules(now, {session_error::unauthorised, "the key was withdrawn"}),
                transaction_state::idle);
         effects_.close_caller(session.id);
         return nullptr;
@@ -442,6 +456,10 @@
     impl_->set_primary(now, view);
 }
 
+auto session_proxy::set_rules_evidence(time_point confirmed_at) -> void {
+    impl_->set_rules_evidence(confirmed_at);
+}
+
 auto session_proxy::set_instances(time_point now, std::uint32_t live) -> void {
     impl_->set_instances(now, live);
 }
--- a/src/libcitronlug/session_proxy_impl.h
+++ b/src/libcitronlug/session_proxy_impl.h
@@ -133,6 +133,9 @@
     auto rollback(time_point now, caller_session& session) -> void;
     auto run(time_point now, caller_session& session, session_statement statement) -> void;
     auto update_session_state(caller_session& session, session_statement statement) -> void;
+    /// Refusal for a route or key that the rules in force do not hold: final only if these are known to be
+    /// the newest. Newer ones may hold it, and other instances may have them.
+    [[nodiscard]] auto refusal_by_rules(time_point now, session_failure final) const -> session_failure;
     /// Checks that the session's route and key are still valid before an operation, and updates its account.
     /// If they are not, answers the caller, closes the session and returns null.
     auto authorise(time_point now, caller_session& session, const std::string& request)
@@ -222,6 +225,7 @@
     auto set_rules(time_point now, std::shared_ptr<const desired_state> rules) -> void;
     auto set_servers(time_point now, const std::vector<backend_server>& servers) -> void;
     auto set_primary(time_point now, const primary_view& view) -> void;
+    auto set_rules_evidence(time_point confirmed_at) -> void { rules_confirmed_at_ = confirmed_at; }
     auto set_instances(time_point now, std::uint32_t live) -> void;
     auto set_evacuations(time_point now, const evacuation_view& view) -> void;
     /// Closes idle and opening connections that may no longer be used, and aborts the open transactions of
@@ -262,6 +266,7 @@
     account_limiter limiter_;
     cold_start_gate cold_;
     std::shared_ptr<const desired_state> rules_;
+    std::optional<time_point> rules_confirmed_at_;
     std::map<group_id, group_state> groups_;
     std::map<caller_id, pending_start> pending_starts_;
     std::unordered_map<caller_id, caller_session> sessions_;
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -228,6 +228,29 @@
     CHECK_EQUAL(0U, effects.opened.size());
 }
 
+// Guards against a final refusal for a route or key that newer rules hold, which this instance has not got in
+// time.
+TEST(session_start, is_not_judged_by_rules_that_may_be_old) {
+    start_session(1, "place");
+    auto rules = make_rules(2);
+    rules->routes.erase("place");
+    proxy.set_rules(now, rules);
+    proxy.set_rules_evidence(now);
+    now += 3100ms;
+    proxy.on_start(now, 2, "place", "k1");
+    proxy.on_start(now, 3, "browse", "new-key");
+    proxy.on_statement(now, 1, make_statement(session_verb::read, "q1", "READ a"));
+    CHECK_EQUAL(2U, effects.rejected.size());
+    CHECK(effects.rejected.at(0).code == session_error::busy);
+    CHECK(effects.rejected.at(1).code == session_error::busy);
+    CHECK_EQUAL(std::string{"busy"}, last_result(1));
+    CHECK_EQUAL(1U, effects.closed.size());
+
+    proxy.set_rules_evidence(now);
+    proxy.on_start(now, 4, "place", "k1");
+    CHECK(effects.rejected.at(2).code == session_error::no_database);
+}
+
 // Guards against reverting to older rules after a stale answer from the store.
 TEST(session_start, ignores_older_rules) {
     proxy.set_rules(now, make_rules(5));
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -343,6 +343,7 @@
         metrics_.set("citronlug_records_age_seconds", {{"kind", std::string{name_of(kind)}}},
                      std::chrono::duration<double>(now - confirmed_at.value_or(started_at_)).count());
     };
+    proxy_.set_rules_evidence(rules_copy_.confirmed_at().value_or(time_point{}));
     set_age(record_kind::rules, rules_copy_.confirmed_at());
     set_age(record_kind::servers, servers_copy_.confirmed_at());
     if (evacuations_.is_watched()) {
