Do not fetch a list of servers again that is newer than the named one

Cause: while servers start, the coordinator's list changes several times a second. What was delivered was newer than the version named by the last answer, so the instance still counted as behind and fetched the list again in each tick until the next answer.

A list that is neither the one held before nor the one named ends that; the next answer tells whether there is a newer one.

Shown by record_copy, of_unordered_versions_is_not_behind_after_another_list_than_the_named_one, which fails without the change.

--- a/src/libcitronlug/record_copy/record_copy.cpp
+++ b/src/libcitronlug/record_copy/record_copy.cpp
@@ -32,7 +32,8 @@
             confirmed_at_.at(n) = std::max(confirmed_at_.at(n), statements_.at(n).as_of);
         }
     }
-    if (named_version_ == held_ || (order_ == version_order::rising && named_version_ < held_)) {
+    // Another list than the named one may be newer than that. The next statement tells.
+    if (order_ == version_order::unordered || named_version_ <= held_) {
         behind_since_.reset();
     }
 }
--- a/src/libcitronlug/record_copy/record_copy_test.cpp
+++ b/src/libcitronlug/record_copy/record_copy_test.cpp
@@ -76,6 +76,17 @@
     CHECK_FALSE(servers.behind_since().has_value());
 }
 
+// Guards against a list that is fetched again and again although it is newer than the one that was named.
+TEST(record_copy, of_unordered_versions_is_not_behind_after_another_list_than_the_named_one) {
+    auto servers = record_copy{version_order::unordered};
+    servers.hold(now, 901);
+    CHECK_FALSE(servers.on_statement(now, copy_source::coordinator, 17, now));
+    CHECK_TRUE(servers.behind_since().has_value());
+    servers.hold(now, 18);
+    CHECK_FALSE(servers.behind_since().has_value());
+    CHECK_FALSE(servers.confirmed_at().has_value());
+}
+
 // Guards against evidence for an instance that has no copy at all.
 TEST(record_copy, without_a_version_is_never_confirmed) {
     auto empty = record_copy{version_order::rising};
