Count a list that the coordinator delivers as evidence by its last statement

Cause: while servers start, the coordinator's list changes several times a second, so an instance seldom held the very list that the last answer named. It had no evidence then and watched the servers at the store.

A list that a source delivers after a statement of its own is not older than what the statement speaks of, so it counts as evidence as of that statement.

Shown by record_copy, of_unordered_versions_shows_what_its_source_stated_before.

--- a/src/include/citronlug/record_copy.h
+++ b/src/include/citronlug/record_copy.h
@@ -38,8 +38,8 @@
     explicit record_copy(version_order order)
         : order_{order} {}
 
-    /// The copy is of this version since `now`.
-    auto hold(time_point now, std::uint64_t version) -> void;
+    /// The copy is of this version since `now`; `source` delivered it.
+    auto hold(time_point now, copy_source source, std::uint64_t version) -> void;
     /// `version` was the newest at `as_of`, by the word of `source`; 0: it has none. Returns false if the
     /// copy is of another version. The statement then counts as soon as the copy is of that version.
     auto on_statement(time_point now, copy_source source, std::uint64_t version, time_point as_of) -> bool;
@@ -61,8 +61,8 @@
         std::uint64_t version = 0;
         std::optional<time_point> as_of;
     };
-    /// True if a copy of `held_` that is held since `held_since_` shows all that the statement speaks of.
-    [[nodiscard]] auto covers(const statement& it) const -> bool;
+    /// True if a copy of `held_`, delivered by `by`, shows all that a statement of `source` speaks of.
+    [[nodiscard]] auto covers(copy_source by, copy_source source, const statement& it) const -> bool;
 
     version_order order_;
     std::uint64_t held_ = 0; ///< 0: none
--- a/src/libcitronlug/record_copy/record_copy.cpp
+++ b/src/libcitronlug/record_copy/record_copy.cpp
@@ -12,24 +12,27 @@
 
 } // namespace
 
-auto record_copy::covers(const statement& it) const -> bool {
+auto record_copy::covers(copy_source by, copy_source source, const statement& it) const -> bool {
     if (!it.as_of || held_ == 0) {
         return false;
     }
-    // A higher version than the stated one shows all changes up to the statement only if it came later.
+    // What a source delivers after a statement of its own is not older than what that speaks of. Numbers that
+    // rise tell this of any source.
+    const auto is_later = held_since_ >= *it.as_of;
     return it.version == held_ ||
-           (order_ == version_order::rising && held_ > it.version && held_since_ >= *it.as_of);
+           (is_later && (order_ == version_order::rising ? held_ > it.version : by == source));
 }
 
-auto record_copy::hold(time_point now, std::uint64_t version) -> void {
+auto record_copy::hold(time_point now, copy_source source, std::uint64_t version) -> void {
     if (version == held_) {
         return;
     }
     held_ = version;
     held_since_ = now;
-    for (auto n = std::size_t{0}; n < statements_.size(); ++n) {
-        if (covers(statements_.at(n))) {
-            confirmed_at_.at(n) = std::max(confirmed_at_.at(n), statements_.at(n).as_of);
+    for (const auto it : {copy_source::store, copy_source::coordinator}) {
+        const auto& last = statements_.at(index_of(it));
+        if (covers(source, it, last)) {
+            confirmed_at_.at(index_of(it)) = std::max(confirmed_at_.at(index_of(it)), last.as_of);
         }
     }
     // Another list than the named one may be newer than that. The next statement tells.
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -299,7 +299,8 @@
                                      const std::vector<store_mirror::change>& changes) -> void {
     for (const auto& change : changes) {
         if (change.record.name == platform_.records.rules_record_name()) {
-            stored_rules_version_ = change.removed ? std::nullopt : apply_rules(now, change.record.value);
+            stored_rules_version_ =
+                change.removed ? std::nullopt : apply_rules(now, copy_source::store, change.record.value);
         }
     }
     auto& mirror = rules_.mirror;
@@ -312,7 +313,8 @@
     }
 }
 
-auto session_daemon::apply_rules(time_point now, const std::string& value) -> std::optional<std::uint64_t> {
+auto session_daemon::apply_rules(time_point now, copy_source from, const std::string& value)
+    -> std::optional<std::uint64_t> {
     auto decoded = platform_.records.decode_rules(value);
     if (const auto* reason = std::get_if<failure>(&decoded)) {
         log(log_level::error, log_event::rules_applied, {{"version", "none"}, {"why", reason->message}});
@@ -330,7 +332,7 @@
         return rules->version;
     }
     active_rules_ = rules;
-    rules_copy_.hold(now, rules->version);
+    rules_copy_.hold(now, from, rules->version);
     fleet_.set_rules({rules->version, value});
     proxy_.set_rules(now, rules);
     coordinator_.set_groups(rules->groups);
@@ -429,7 +431,7 @@
         servers_version_ = random_number();
     }
     servers_text_ = QJsonDocument{text}.toJson(QJsonDocument::Compact).toStdString();
-    publish_servers(now);
+    publish_servers(now, fetched_version == 0 ? copy_source::store : copy_source::coordinator);
     if (!is_changed) {
         return;
     }
@@ -442,8 +444,8 @@
     apply_servers(now);
 }
 
-auto session_daemon::publish_servers(time_point now) -> void {
-    servers_copy_.hold(now, servers_version_);
+auto session_daemon::publish_servers(time_point now, copy_source from) -> void {
+    servers_copy_.hold(now, from, servers_version_);
     fleet_.set_servers({servers_version_, servers_text_, servers_order_.present()});
 }
 
@@ -463,7 +465,7 @@
     if (servers.value == servers_text_) {
         // Read by both from the store, maybe at different revisions.
         servers_version_ = servers.version;
-        publish_servers(now);
+        publish_servers(now, copy_source::coordinator);
         return;
     }
     const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(servers.value));
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -216,7 +216,7 @@
                            const auto is_delivered = rules && rules->version > active_rules_version();
                            rules_fetch_.on_answer(number, is_delivered);
                            if (is_delivered) {
-                               apply_rules(clock_now(), rules->value);
+                               apply_rules(clock_now(), copy_source::coordinator, rules->value);
                            }
                        });
 }
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -105,7 +105,8 @@
     /// `restored`: the store has come back from an older copy.
     auto on_store_era(std::uint64_t before, std::uint64_t era, bool restored) -> void;
     /// Puts rules in force if they are newer. Returns their version, or nothing if they cannot be read.
-    auto apply_rules(time_point now, const std::string& value) -> std::optional<std::uint64_t>;
+    auto apply_rules(time_point now, copy_source from, const std::string& value)
+        -> std::optional<std::uint64_t>;
     /// Applies changes of the rules in the store, and notes whether those in force are the newest.
     auto on_stored_rules(time_point now, bool answered, const std::vector<store_mirror::change>& changes)
         -> void;
@@ -121,7 +122,7 @@
     auto log_if_behind(time_point now, const mirrored_kind& it, const record_copy& copy,
                        const record_fetch& fetch) -> void;
     /// Offers the list of servers in force to other instances.
-    auto publish_servers(time_point now) -> void;
+    auto publish_servers(time_point now, copy_source from) -> void;
     /// Logs why a record is not used, once for each revision of it.
     auto log_rejected(record_kind kind, const store_record& record, const std::string& reason) -> void;
     auto apply_servers(time_point now) -> void;
