Count the statement that there are no rules for an instance without rules

Cause: no rules were taken for no version, so no statement was evidence for an instance that had none yet, and each of them watched the store.

A listing that is complete and holds no rules now states version 0, and so does the coordinator. A listing with an entry that cannot be read states nothing.

--- a/src/include/citronlug/record_copy.h
+++ b/src/include/citronlug/record_copy.h
@@ -27,8 +27,8 @@
 
 /// How versions of a copy compare.
 enum class version_order {
-    rising,    ///< a newer version has a higher number
-    unordered, ///< a version only identifies its content
+    rising,    ///< a newer version has a higher number; 0: there are no records
+    unordered, ///< a version only identifies its content; 0: unknown
 };
 
 /// How old an instance's copy of some records may be. A source states that a version was the newest at some
@@ -40,7 +40,7 @@
 
     /// The copy is of this version since `now`; `source` delivered it.
     auto hold(time_point now, copy_source source, std::uint64_t version) -> void;
-    /// `version` was the newest at `as_of`, by the word of `source`; 0: it has none. Returns false if the
+    /// `version` was the newest at `as_of`, by the word of `source`. Returns false if the
     /// copy is of another version. The statement then counts as soon as the copy is of that version.
     auto on_statement(time_point now, copy_source source, std::uint64_t version, time_point as_of) -> bool;
 
@@ -65,7 +65,7 @@
     [[nodiscard]] auto covers(copy_source by, copy_source source, const statement& it) const -> bool;
 
     version_order order_;
-    std::uint64_t held_ = 0; ///< 0: none
+    std::uint64_t held_ = 0;
     time_point held_since_;
     std::array<statement, 2> statements_;                     ///< by source: the last one
     std::array<std::optional<time_point>, 2> confirmed_at_{}; ///< by source
--- a/src/include/citronlug/store_mirror.h
+++ b/src/include/citronlug/store_mirror.h
@@ -94,6 +94,8 @@
     [[nodiscard]] auto shown_revision() const -> std::uint64_t { return shown_revision_; }
     /// True if a watch since the last listing reported a change that could not be read.
     [[nodiscard]] auto may_lack_change() const -> bool { return may_lack_change_; }
+    /// Entries of the last listing that were left out because they have no readable name.
+    [[nodiscard]] auto unreadable_records() const -> std::uint32_t { return unreadable_records_; }
     [[nodiscard]] auto is_available() const -> bool { return failures_ == 0; }
     [[nodiscard]] auto has_call_in_flight() const -> bool { return call_pending_; }
     [[nodiscard]] auto last_call_at() const -> time_point { return asked_at_; }
@@ -121,6 +123,8 @@
     std::uint64_t call_number_ = 0;
     bool call_pending_ = false;
     bool may_lack_change_ = false;
+    std::uint32_t unreadable_records_ = 0;
+    std::uint32_t unreadable_in_listing_ = 0; ///< in the pages so far
     bool paused_ = false;
     time_point asked_at_;
     time_point listing_asked_at_;
@@ -132,8 +136,8 @@
 };
 
 /// True if `it` is available, or if it is its turn among the unavailable mirrors in `all`. Only one of these
-/// retries at a time, because each call costs money and adds load to a failing store. They take turns, because
-/// the calls of one may fail for a reason that does not concern the others.
+/// retries at a time, because each call costs money and adds load to a failing store. They take turns,
+/// because the calls of one may fail for a reason that does not concern the others.
 [[nodiscard]] auto may_call(const std::vector<const store_mirror*>& all, const store_mirror& it) -> bool;
 
 } // namespace citronlug
--- a/src/libcitronlug/record_copy/record_copy.cpp
+++ b/src/libcitronlug/record_copy/record_copy.cpp
@@ -13,7 +13,7 @@
 } // namespace
 
 auto record_copy::covers(copy_source by, copy_source source, const statement& it) const -> bool {
-    if (!it.as_of || held_ == 0) {
+    if (!it.as_of) {
         return false;
     }
     // What a source delivers after a statement of its own is not older than what that speaks of. Numbers that
@@ -43,7 +43,7 @@
 
 auto record_copy::on_statement(time_point now, copy_source source, std::uint64_t version, time_point as_of)
     -> bool {
-    if (version == 0) {
+    if (order_ == version_order::unordered && version == 0) {
         return false;
     }
     auto& last = statements_.at(index_of(source));
--- a/src/libcitronlug/store_mirror.cpp
+++ b/src/libcitronlug/store_mirror.cpp
@@ -36,6 +36,7 @@
     }
     if (list_cursor_.empty()) {
         listing_.clear();
+        unreadable_in_listing_ = 0;
         listing_asked_at_ = now;
     }
     return mirror_call{call_number_, false, list_cursor_, 0, {}};
@@ -129,6 +130,7 @@
     for (const auto& it : answer.records) {
         listing_[it.name] = it;
     }
+    unreadable_in_listing_ += answer.unreadable_records;
     if (answer.has_more && !answer.records.empty()) {
         list_cursor_ = answer.records.back().name;
         return changes;
@@ -152,6 +154,7 @@
     shown_revision_ = listing_revision_;
     confirmed_at_ = listing_asked_at_;
     may_lack_change_ = false;
+    unreadable_records_ = unreadable_in_listing_;
     return changes;
 }
 
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -78,6 +78,11 @@
     const auto list = mirror.next_call(now);
     static_cast<void>(mirror.on_answer(now, list->number, answer_of({{"a", "1", 7}}, 16)));
     CHECK_FALSE(mirror.may_lack_change());
+    CHECK_EQUAL(0U, mirror.unreadable_records());
+    mirror.list_again();
+    const auto other_list = mirror.next_call(now);
+    static_cast<void>(mirror.on_answer(now, other_list->number, answer));
+    CHECK_EQUAL(1U, mirror.unreadable_records());
 }
 
 // Guards against a paid listing and watch by each instance whenever the coordinator is away for a moment.
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -308,7 +308,14 @@
         mirror.list_again(); // the change that could not be read may be one of the rules
         return;
     }
-    if (answered && mirror.confirmed_at() && stored_rules_version_) {
+    if (!answered || !mirror.confirmed_at()) {
+        return;
+    }
+    if (mirror.unreadable_records() == 0 &&
+        !mirror.records().contains(std::string{platform_.records.rules_record_name()})) {
+        stored_rules_version_ = 0;
+    }
+    if (stored_rules_version_) {
         rules_copy_.on_statement(now, copy_source::store, *stored_rules_version_, *mirror.confirmed_at());
     }
 }
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -247,7 +247,7 @@
     record_fetch rules_fetch_;
     std::vector<std::string> rules_deputies_; ///< other instances that may have newer rules
     record_copy rules_copy_{version_order::rising};
-    std::optional<std::uint64_t> stored_rules_version_; ///< empty: there are none, or they cannot be read
+    std::optional<std::uint64_t> stored_rules_version_; ///< 0: there are none; empty: they cannot be read
     std::set<record_kind> behind_logged_;               ///< kinds of which `records-behind` was logged
     std::uint64_t older_rules_logged_ = 0;              ///< version of ignored rules
     bool wants_records_ = false;       ///< the coordinator asked for the primary records known here
