Go on with other calls to instances after a handler that throws

Cause: an exception of one posted task ended the chain of promises that runs all later ones, so the instance reached no other one any more: no report, no rules, no servers, until its process ended.

Each task and each check of a connection is now guarded by itself and its error is logged.

Shown by peers, are_reached_after_a_handler_that_throws, which failed before.

--- a/src/peer/peer_rpc.cpp
+++ b/src/peer/peer_rpc.cpp
@@ -263,12 +263,22 @@
                 tasks.swap(tasks_);
             }
             for (auto& it : tasks) {
-                it();
+                run_guarded(it);
             }
             return run_tasks();
         });
     }
 
+    /// An exception ends this task only; the thread has to go on with the others.
+    template <class Task>
+    static auto run_guarded(Task&& task) -> void {
+        try {
+            task();
+        } catch (const std::exception& error) {
+            KJ_LOG(ERROR, "a task of the peer thread failed", error.what());
+        }
+    }
+
     auto accept() -> kj::Promise<void> {
         return listener_->accept().then([this](kj::Own<kj::AsyncIoStream> stream) {
             auto on = 1;
@@ -369,7 +379,7 @@
         return io_->provider->getTimer().afterDelay(check_interval_ms * kj::MILLISECONDS).then([this] {
             const auto now = clock_now();
             for (auto& [address, it] : links_) {
-                check(*it, now);
+                run_guarded([&] { check(*it, now); });
             }
             return check_links();
         });
--- a/src/peer/peer_rpc_test.cpp
+++ b/src/peer/peer_rpc_test.cpp
@@ -191,3 +191,18 @@
     offered_rules.compressed = compress_text(text).substr(0, 100);
     CHECK_FALSE(fetch_rules().has_value());
 }
+
+// Guards against an instance that reaches no other one any more because the handler of one failed call threw.
+TEST(peers, are_reached_after_a_handler_that_throws) {
+    start("secret");
+    auto called = std::promise<void>{};
+    client->fetch_config("127.0.0.1:1", 0, [&](const std::optional<config_reply>& /*reply*/) {
+        called.set_value();
+        throw std::runtime_error{"a handler that throws"};
+    });
+    called.get_future().wait();
+    auto reply = std::make_shared<std::promise<execute_reply>>();
+    auto result = reply->get_future();
+    client->execute(address, sample(2s), [reply](execute_reply it) { reply->set_value(std::move(it)); });
+    CHECK(result.wait_for(3s) == std::future_status::ready);
+}
