Let an open session go on as the account that holds its key now

Outside of a transaction the session now goes on as the account that its key belongs to. A transaction that is open ends as before, since its connection belongs to the earlier account.

Shown by session_start, goes_on_as_the_account_that_holds_its_key_now, which failed before.

--- a/src/libcitronlug/session_proxy.cpp
+++ b/src/libcitronlug/session_proxy.cpp
@@ -195,7 +195,7 @@
         effects_.close_caller(session.id);
         return nullptr;
     }
-    if (!route->open_to_all && (!account || *account != session.account)) {
+    if (!route->open_to_all && !account) {
         refuse(session, request,
                refusal_by_rules(now, {session_error::unauthorised, "the key was withdrawn"}),
                transaction_state::idle);
--- a/src/libcitronlug/session_proxy_test.cpp
+++ b/src/libcitronlug/session_proxy_test.cpp
@@ -228,6 +228,21 @@
     CHECK_EQUAL(0U, effects.opened.size());
 }
 
+// Guards against refusing an open session whose key is valid, because the operators gave it to another
+// account.
+TEST(session_start, goes_on_as_the_account_that_holds_its_key_now) {
+    start_session(1, "place");
+    auto rules = make_rules(2);
+    const auto next_account = account_id{"press"};
+    rules->accounts[next_account] = {next_account, {0, 0}};
+    rules->keys["k1"] = next_account;
+    proxy.set_rules(now, rules);
+    proxy.on_statement(now, 1, make_statement(session_verb::read, "q1", "READ a"));
+    CHECK_EQUAL(0U, effects.closed.size());
+    CHECK_EQUAL(1U, effects.opening.size());
+    CHECK(effects.connection_account.at(effects.opening.back()) == next_account);
+}
+
 // Guards against a final refusal for a route or key that newer rules hold, which this instance has not got in
 // time.
 TEST(session_start, is_not_judged_by_rules_that_may_be_old) {
