--- a/src/include/citronlug/record_copy.h
+++ b/src/include/citronlug/record_copy.h
@@ -40,8 +40,8 @@
 
     /// The copy is of this version since `now`; `source` delivered it.
     auto hold(time_point now, copy_source source, std::uint64_t version) -> void;
-    /// `version` was the newest at `as_of`, by the word of `source`. Returns false if the
-    /// copy is of another version. The statement then counts as soon as the copy is of that version.
+    /// `version` was the newest at `as_of`, by the word of `source`. Returns false if the copy is of another
+    /// version. The statement then counts as soon as the copy is of that version.
     auto on_statement(time_point now, copy_source source, std::uint64_t version, time_point as_of) -> bool;
 
     [[nodiscard]] auto version() const -> std::uint64_t { return held_; }
--- a/src/libcitronlug/record_copy/record_copy.cpp
+++ b/src/libcitronlug/record_copy/record_copy.cpp
@@ -48,8 +48,8 @@
     }
     auto& last = statements_.at(index_of(source));
     if (order_ == version_order::rising && version < held_) {
-        last =
-            {}; // the source does not know the held version, so later versions may be unknown to it as well
+        // The source does not know the held version, so later ones may be unknown to it as well.
+        last = {};
         return false;
     }
     if (!last.as_of || *last.as_of <= as_of) {
--- a/src/libcitronlug/session_proxy.cpp
+++ b/src/libcitronlug/session_proxy.cpp
@@ -334,7 +334,8 @@
     if (!route->open_to_all && (!account || *account != session.account)) {
         const auto next =
             statement.verb == session_verb::commit ? transaction_state::idle : transaction_state::failed;
-        fail_transaction(now, session, {session_error::unauthorised, "the key was withdrawn"});
+        fail_transaction(now, session,
+                         refusal_by_rules(now, {session_error::unauthorised, "the key was withdrawn"}));
         refuse(session, statement.id, session.transaction_failure, next);
         return;
     }
--- a/src/peer/peer_rpc.cpp
+++ b/src/peer/peer_rpc.cpp
@@ -378,8 +378,8 @@
     auto check_links() -> kj::Promise<void> {
         return io_->provider->getTimer().afterDelay(check_interval_ms * kj::MILLISECONDS).then([this] {
             const auto now = clock_now();
-            for (auto& [address, it] : links_) {
-                run_guarded([&] { check(*it, now); });
+            for (auto& it : links_) {
+                run_guarded([&] { check(*it.second, now); });
             }
             return check_links();
         });
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -348,15 +348,15 @@
 }
 
 auto session_daemon::measure_copies(time_point now) -> void {
-    const auto set_age = [&](record_kind kind, const std::optional<time_point>& confirmed_at) {
+    const auto set_age = [&](record_kind kind, duration age) {
         metrics_.set("citronlug_records_age_seconds", {{"kind", std::string{name_of(kind)}}},
-                     std::chrono::duration<double>(now - confirmed_at.value_or(started_at_)).count());
+                     std::chrono::duration<double>(std::min(age, now - started_at_)).count());
     };
     proxy_.set_rules_evidence(rules_copy_.confirmed_at().value_or(time_point{}));
-    set_age(record_kind::rules, rules_copy_.confirmed_at());
-    set_age(record_kind::servers, servers_copy_.confirmed_at());
+    set_age(record_kind::rules, rules_copy_.age(now));
+    set_age(record_kind::servers, servers_copy_.age(now));
     if (evacuations_.is_watched()) {
-        set_age(record_kind::evacuations, evacuations_.evidence_at());
+        set_age(record_kind::evacuations, now - evacuations_.evidence_at().value_or(started_at_));
     }
     log_if_behind(now, rules_, rules_copy_, rules_fetch_);
     log_if_behind(now, servers_, servers_copy_, servers_fetch_);
@@ -377,7 +377,7 @@
         {{"kind", std::string{name_of(it.kind)}},
          {"version", std::to_string(copy.version())},
          {"named", std::to_string(copy.named_version())},
-         {"age_ms", std::to_string((now - copy.confirmed_at().value_or(started_at_)) / 1ms)},
+         {"age_ms", std::to_string(std::min(copy.age(now), now - started_at_) / 1ms)},
          {"fetching", fetch.is_pending(now) ? "yes" : "no"},
          {"holder", lease ? lease->holder.value : std::string{}},
          {"store", it.mirror.is_available() ? "available" : "unavailable"}});
@@ -457,37 +457,35 @@
 }
 
 auto session_daemon::fetch_servers(const record_fetch::request& from) -> void {
-    fleet_.fetch_servers(from.address,
-                         [this, number = from.number](const std::optional<fleet_link::record_text>& fetched) {
-                             count_fetch(record_kind::servers, fetched);
-                             const auto is_delivered = fetched && fetched->version != 0;
-                             servers_fetch_.on_answer(number, is_delivered);
-                             if (is_delivered && coordinator_reachable_) {
+    fleet_.fetch_servers(
+        from.address, [this, number = from.number](const std::optional<fleet_link::record_text>& fetched) {
+            count_fetch(record_kind::servers, fetched);
+            const auto is_used = fetched && fetched->version != 0 && coordinator_reachable_ &&
                                  on_fetched_servers(clock_now(), *fetched);
-                             }
-                         });
+            servers_fetch_.on_answer(number, is_used);
+        });
 }
 
-auto session_daemon::on_fetched_servers(time_point now, const fleet_link::record_text& servers) -> void {
+auto session_daemon::on_fetched_servers(time_point now, const fleet_link::record_text& servers) -> bool {
     if (servers.value == servers_text_) {
         // Read by both from the store, maybe at different revisions.
         servers_version_ = servers.version;
         publish_servers(now, copy_source::coordinator);
-        return;
+        return true;
     }
     const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(servers.value));
     if (!document.isObject()) {
         log(log_level::error, log_event::record_rejected,
             {{"kind", std::string{name_of(record_kind::servers)}},
              {"why", "the coordinator's list of servers is not a JSON object"}});
-        return;
+        return false;
     }
     if (!servers_order_.accept_fetched(servers.version, servers.basis)) {
         metrics_.count("citronlug_older_server_lists_total");
         log(log_level::info, log_event::servers_changed,
             {{"why", fmt::format("the coordinator's list of revision {} is older than that of revision {}",
                                  servers.basis.revision, servers_order_.present().revision)}});
-        return;
+        return true;
     }
     auto records = std::map<std::string, store_record>{};
     const auto object = document.object();
@@ -496,6 +494,7 @@
         records[name] = {name, it.value().toString().toStdString(), 0};
     }
     replace_servers(now, records, servers.version);
+    return true;
 }
 
 auto session_daemon::apply_servers(time_point now) -> void {
--- a/src/sessiond/daemon_reports.cpp
+++ b/src/sessiond/daemon_reports.cpp
@@ -213,11 +213,10 @@
     fleet_.fetch_rules(from.address, active_rules_version(),
                        [this, number = from.number](const std::optional<fleet_link::record_text>& rules) {
                            count_fetch(record_kind::rules, rules);
-                           const auto is_delivered = rules && rules->version > active_rules_version();
-                           rules_fetch_.on_answer(number, is_delivered);
-                           if (is_delivered) {
-                               apply_rules(clock_now(), copy_source::coordinator, rules->value);
-                           }
+                           const auto is_newer = rules && rules->version > active_rules_version();
+                           const auto is_applied =
+                               is_newer && apply_rules(clock_now(), copy_source::coordinator, rules->value);
+                           rules_fetch_.on_answer(number, is_applied);
                        });
 }
 
--- a/src/sessiond/session_daemon.h
+++ b/src/sessiond/session_daemon.h
@@ -128,7 +128,8 @@
     auto apply_servers(time_point now) -> void;
     /// Fetches a list of servers from an instance.
     auto fetch_servers(const record_fetch::request& from) -> void;
-    auto on_fetched_servers(time_point now, const fleet_link::record_text& servers) -> void;
+    /// Returns false if the list cannot be read.
+    auto on_fetched_servers(time_point now, const fleet_link::record_text& servers) -> bool;
     auto apply_primaries(time_point now) -> void;
     /// Takes a list of evacuations over and logs a change.
     auto apply_evacuations(time_point now, const evacuation_evidence& list) -> void;
