Share the pause after a failed call among the records of a failing store

The kinds that fail now wait for the longest of their pauses together. After the first success the pauses of the others are over, and they follow at once.

Shown by store_mirror, shares_the_pause_after_a_failure_with_others."

--- a/src/include/citronlug/store_mirror.h
+++ b/src/include/citronlug/store_mirror.h
@@ -99,6 +99,8 @@
     [[nodiscard]] auto is_available() const -> bool { return failures_ == 0; }
     [[nodiscard]] auto has_call_in_flight() const -> bool { return call_pending_; }
     [[nodiscard]] auto last_call_at() const -> time_point { return asked_at_; }
+    /// End of the pause after the last call.
+    [[nodiscard]] auto pause_ends_at() const -> time_point { return not_before_; }
     auto set_watch_wait(duration wait) -> void { watch_wait_ = wait; }
     /// Delay between a listing and the first watch after it, in case the other source answers meanwhile.
     auto set_first_watch_delay(duration delay) -> void { first_watch_delay_ = delay; }
@@ -139,5 +141,8 @@
 /// retries at a time, because each call costs money and adds load to a failing store. They take turns,
 /// because the calls of one may fail for a reason that does not concern the others.
 [[nodiscard]] auto may_call(const std::vector<const store_mirror*>& all, const store_mirror& it) -> bool;
+/// When the next of the unavailable mirrors may retry: after the pauses of all of them, so that several kinds
+/// of records do not try a failing store more often than one.
+[[nodiscard]] auto retry_due_at(const std::vector<const store_mirror*>& all) -> time_point;
 
 } // namespace citronlug
--- a/src/libcitronlug/store_mirror.cpp
+++ b/src/libcitronlug/store_mirror.cpp
@@ -177,4 +177,14 @@
     return next == &it;
 }
 
+auto retry_due_at(const std::vector<const store_mirror*>& all) -> time_point {
+    auto due = time_point{};
+    for (const auto* it : all) {
+        if (!it->is_available()) {
+            due = std::max(due, it->pause_ends_at());
+        }
+    }
+    return due;
+}
+
 } // namespace citronlug
--- a/src/libcitronlug/store_mirror_test.cpp
+++ b/src/libcitronlug/store_mirror_test.cpp
@@ -230,6 +230,30 @@
     CHECK_TRUE(may_call(all, primaries));
 }
 
+// Guards against as many paid calls to a failing store as there are kinds of records, and against a store
+// that is back but is not asked for the others at once.
+TEST(store_mirror, shares_the_pause_after_a_failure_with_others) {
+    auto primaries = store_mirror{1s};
+    const auto all = std::vector<const store_mirror*>{&primaries, &mirror};
+    const auto answer = [&](store_mirror& it, const store_answer& with) {
+        const auto call = it.next_call(now);
+        CHECK_TRUE(call.has_value());
+        static_cast<void>(it.on_answer(now, call->number, with));
+    };
+    answer(primaries, failed(store_outcome::refused));
+    now += 100ms;
+    answer(mirror, failed(store_outcome::refused));
+    CHECK(retry_due_at(all) == now + 150ms);
+    now += 150ms;
+    answer(primaries, failed(store_outcome::refused));
+    CHECK(retry_due_at(all) > now);
+
+    now = retry_due_at(all);
+    answer(mirror, answer_of({{"a", "1", 7}}, 30));
+    CHECK(retry_due_at(all) <= now);
+    CHECK_TRUE(may_call(all, primaries));
+}
+
 // Guards against a paused mirror that blocks the retries of the others although it makes no calls itself.
 TEST(store_mirror, resets_failures_when_it_is_paused) {
     const auto call = mirror.next_call(now);
--- a/src/sessiond/daemon_records.cpp
+++ b/src/sessiond/daemon_records.cpp
@@ -142,7 +142,8 @@
         kinds.push_back(&evacuated_);
     }
     for (auto* it : kinds) {
-        const auto call = may_call(all, it->mirror) ? it->mirror.next_call(now) : std::nullopt;
+        const auto may_retry = it->mirror.is_available() || now >= retry_due_at(all);
+        const auto call = may_retry && may_call(all, it->mirror) ? it->mirror.next_call(now) : std::nullopt;
         if (!call) {
             continue;
         }
