--- a/src/libcitronlug/compressed_text/compressed_text_test.cpp
+++ b/src/libcitronlug/compressed_text/compressed_text_test.cpp
@@ -8,19 +8,24 @@
 
 using namespace citronlug;
 
-TEST_GROUP(compressed_text){/// Rules of 1,400 routes with random names.
-                            static auto large_rules()->std::string{auto random = std::mt19937_64{7};
-auto text = std::string{R"({"Version":7,"Routes":[)"};
-for (auto n = 0; n < 1400; ++n) {
-    text += fmt::format(
-        R"({{"Name":"r-{:x}","DatabaseName":"d{:x}","PathPrefix":"/","RouteType":"bounded_staleness","TimeoutMs":2000,)"
-        R"("TargetLatencyMs":1000,"Priority":2,"Service":"huvo11a","MaxAttempts":2,"Public":false}},)",
-        random() >> 32U, random() >> 32U);
-}
-return text;
-}
+namespace {
+
+/// Rules of 1,400 routes with random names.
+auto large_rules() -> std::string {
+    auto random = std::mt19937_64{7};
+    auto text = std::string{R"({"version":7,"routes":[)"};
+    for (auto n = 0; n < 1400; ++n) {
+        text += fmt::format(
+            R"({{"route":"r-{:x}","database":"d{:x}","path":"/","mode":"bounded-staleness","timeout_ms":2000,)"
+            R"("target_ms":1000,"priority":2,"group":"huvo11a","max_attempts":2,"open_to_all":false}},)",
+            random() >> 32U, random() >> 32U);
+    }
+    return text;
 }
-;
+
+} // namespace
+
+TEST_GROUP(compressed_text){};
 
 // Guards against links that are full for seconds because each instance gets a version of large rules.
 TEST(compressed_text, of_large_rules_is_a_fraction_of_them) {
